--- /dev/null
+++ b/nickelslip/admission/control.py
@@ -0,0 +1,471 @@
+"""The decisions of one server: what it takes, starts, calls, turns away, and what it says outward.
+
+A server makes one Control from its settings and a seed, calls start() once and then one method for
+each thing that happens: read, ended, at_call, call_returned, caller_gone, drain, timer. Each takes
+the time in milliseconds and returns a Result; the server carries it out before it calls again. The
+types are in interface.py beside this file; docs/design.md says what each part is for and when each
+departure from the design acts. Nothing here reads a clock, does I/O or shares state.
+
+Order of reading: the tuned ratios, Ring and Mean (what is learned), Grading (a service grade's
+derived figures), Item (a transaction), then Control: events, decisions, the four rules' figures.
+"""
+
+from __future__ import annotations
+
+import random
+from math import inf, sqrt
+
+from nickelslip.admission.interface import (
+    Arrival, Change, Gauges, Grade, Health, Outcome, Remembrance, Repeat, Result, Said, Settings, State, Stopping,
+)
+
+WINDOW_MS = 100.0  # the weight is judged once a window
+WEIGHT_CUT, WEIGHT_GAIN = 0.8, 0.1  # a window with early dismissals, and a calm one
+LATE_KEEPS = 0.5  # grades that keep less of their credit than this after the quoted time are judged by it
+GUESS = 1 / 6  # an unlearned mean run time, as a part of the quoted time
+CALL_GUESS = 1 / 32  # an unlearned mean call, likewise
+SPAN = 2.0  # what is learned looks back over so many of the longest quoted time
+TRUST = 2.0  # runs' worth of long memory mixed into the recent mean
+OUTLIER = 4.0  # a run counts for so many means at most
+BUSY = 0.9  # under this share of busy cores they count as idle
+CROWD_PART = 0.7  # of the crowd that a server survives, all that can be on the cores at once
+MEMORY_PART = 0.97
+CALL_PART = 0.85  # of the calls that are this server's part, in the mean
+SIGMAS = 2.0  # a customer is beyond its share when its count is so many deviations above it
+
+
+class Ring:
+    """Sum and count over the latest span, in fixed buckets that are used again."""
+
+    def __init__(self, span_ms: float, buckets: int = 16) -> None:
+        self._width = span_ms / buckets
+        self._sums = [0.0] * buckets
+        self._counts = [0.0] * buckets
+        self._at = 0
+
+    def _turn(self, now: float) -> int:
+        number, size = int(now // self._width), len(self._sums)
+        for old in range(max(self._at + 1, number - size + 1), number + 1):
+            self._sums[old % size] = self._counts[old % size] = 0.0
+        self._at = max(self._at, number)
+        return self._at % size
+
+    def add(self, now: float, amount: float, count: float = 1.0) -> None:
+        at = self._turn(now)
+        self._sums[at] += amount
+        self._counts[at] += count
+
+    def total(self, now: float) -> tuple[float, float]:
+        self._turn(now)
+        return sum(self._sums), sum(self._counts)
+
+
+class Mean:
+    """A learned mean: recent figures, leaning on the long memory while they are few."""
+
+    def __init__(self, guess: float, span_ms: float) -> None:
+        self._recent, self._long, self._seen = Ring(span_ms), guess, 0
+
+    def learn(self, now: float, figure: float) -> None:
+        figure = min(figure, OUTLIER * self.at(now))  # a few far costlier than the rest don't move it for all
+        self._seen += 1
+        self._long += (figure - self._long) / min(self._seen + 1, 64)
+        self._recent.add(now, figure)
+
+    def at(self, now: float) -> float:
+        total, count = self._recent.total(now)
+        return (total + TRUST * self._long) / (count + TRUST)
+
+
+class Grading:
+    """A service grade as decisions use it, and what was learned of it."""
+
+    def __init__(self, grade: Grade, span_ms: float) -> None:
+        self.credit, self.quoted, self.abandon, self.stretch = (
+            grade.credit, grade.quoted_ms, grade.abandon_ms, grade.stretch)
+        self.replayable = grade.repeat is Repeat.REPLAYABLE
+        self.referenced = grade.repeat is Repeat.REFERENCED
+        self.window = grade.window_ms
+        self.by_quoted = grade.late_share < LATE_KEEPS
+        self.calls, self.omittable = grade.calls, grade.omit_share > 0
+        self.run = Mean(grade.quoted_ms * GUESS, span_ms)  # time on a core
+        self.ratio = Mean(1.0, span_ms)  # that time over the cost hint
+        self.at_calls = Mean(grade.quoted_ms * CALL_GUESS if grade.calls else 0.0, span_ms)
+        self.patience: dict[int | None, float] = {}  # by caller: the longest told wait of a first try
+
+
+class Item:
+    """A transaction in this server's hands."""
+
+    __slots__ = ("id", "grading", "kb", "due", "worth_until", "work", "state", "ran", "density", "call_ms", "since",
+                 "limit", "hint", "asked", "sort")
+
+    def __init__(self, arrival: Arrival, grading: Grading, now: float) -> None:
+        self.id, self.grading, self.kb, self.hint = arrival.id, grading, arrival.kb, arrival.cost_hint_ms
+        reached = now - arrival.unread_ms
+        self.due = max(now, arrival.due_ms if arrival.due_ms is not None else reached + grading.abandon)
+        self.work = grading.run.at(now) if self.hint is None else self.hint * grading.ratio.at(now)
+        self.worth_until = min(self.due, reached + min(grading.quoted + grading.stretch * self.work, grading.abandon))
+        self.state, self.ran, self.density, self.asked = State.HELD, False, 0.0, -inf
+        self.call_ms, self.since, self.limit = 0.0, now, inf  # time at calls; begin and end of the present one
+        self.sort = (0.0, 0.0, 0)
+
+
+FINAL = (State.SATISFIED, State.DISMISSED, State.FORFEITED, State.ABANDONED)
+ON_CORE = (State.RUNNING, State.OMITTED, State.SPENT)
+UNRUN = (State.HELD, State.JOINED)  # an end frees these at once; all others wait for word from the cores
+
+
+class Control:
+    """The admission control of one server."""
+
+    def __init__(self, settings: Settings, seed: int, now: float) -> None:
+        self._random = random.Random(seed)
+        span = SPAN * max(grade.quoted_ms for grade in settings.grades)
+        self._gradings = {grade.name: Grading(grade, span) for grade in settings.grades}
+        self._by_work, self._marks_again = settings.counted_by_work, settings.marks_again
+        self._halts, self._said_as = settings.stopping is not Stopping.NEVER, settings.said
+        self._advice_max = settings.advice_max_ms
+        self._cores, self._run_factor = settings.cores, settings.run_factor
+        self._memory = settings.memory_kb * MEMORY_PART
+        self._entry_kb, self._fresh = settings.entry_kb, settings.fresh_ms
+        self._crowd_more = settings.cores * (settings.crowd_multiple - 1)
+        self._cold_from = settings.cold_from if settings.cold else 1.0
+        self._cold_ms, self._began = settings.cold_ms, now
+        self._margin = 2 * settings.tick_ms  # an answer that falls due goes out so much before
+        self._last_words = 4 * settings.answer_slack_ms  # and so much before the kill: a standstill may come
+        self._grace = settings.drain_grace_ms - settings.tick_ms
+        part = 1 / settings.servers
+        self._shares = {each.name: each.share_per_s * part * span / 1000 for each in settings.customers}
+        self._sent = {each.name: Ring(span) for each in settings.customers}
+        self._beyond = settings.beyond_share_worth
+        self._slots_each = settings.cores * settings.crowd_multiple / settings.callers
+        self._checks_work = settings.checks_work
+        told = settings.call_share > 0 and settings.call_span_ms > 0
+        self._call_share = settings.call_share * CALL_PART if told else settings.cores * settings.crowd_multiple
+        self._call_span = settings.call_span_ms if told else span
+        self._linger = settings.call_linger_ms
+        self._call_ring, self._call_mark = Ring(self._call_span * 17 / 16), now
+        self._lingering: list[float] = []  # when each call given up leaves
+        self._call_time = Mean(min(grade.quoted_ms for grade in settings.grades) * CALL_GUESS, span)
+        self._items: dict[int, Item] = {}
+        self._in: dict[State, dict[int, Item]] = {state: {} for state in State}
+        self._entries: dict[int, float] = {}  # remembered transactions, and when each is forgotten
+        self._limit = float(settings.cores)
+        self._weight, self._early, self._stood_still, self._pressed = 1.0, 0, False, False
+        self._window_end, self._wake_at = now + WINDOW_MS, inf
+        self._drain_at = self._kill = inf
+        self._said = 1.0
+        self._result = Result()
+
+    # Events
+
+    def start(self, now: float) -> Result:
+        """The process has come up: its first outward words."""
+        if self._checks_work:  # answered from store, checks cost next to nothing
+            self._result.health = Health(good=True, stored=True)
+        return self._decide(now)
+
+    def read(self, now: float, arrival: Arrival) -> Result:
+        """A transaction was read."""
+        grading = self._gradings[arrival.grade]
+        item = Item(arrival, grading, now)
+        self._items[item.id] = self._in[State.HELD][item.id] = item
+        reached = now - arrival.unread_ms
+        self._judge_age(item, arrival, reached)
+        self._rank(item, arrival, now)
+        if reached > self._drain_at + self._grace:  # rule 3
+            self._turn_away(item, now)
+        elif arrival.forerunner is not None and (grading.referenced or (grading.replayable and self._fresh > 0)):
+            self._move(now, item, State.JOINED)  # rule 2: a repeat takes its forerunner's result, run or not
+        elif grading.referenced and not self._remember(item, now, max(grading.window, item.due - now)):
+            self._turn_away(item, now)  # unremembered it must not run
+        else:
+            if self._fresh > 0 and arrival.marked and grading.replayable:
+                self._remember(item, now, item.due - now + self._fresh)
+            waits = len(self._in[State.HELD]) > 1 or self._on_cores() >= self._limit
+            if waits and self._too_late(item, now):
+                self._early += 1
+                self._turn_away(item, now, arrival.again)
+        return self._decide(now)
+
+    def ended(self, now: float, ident: int, outcome: Outcome, took_ms: float) -> Result:
+        """A run, or a joining, came to its end."""
+        item = self._items.get(ident)
+        if item is not None:
+            if outcome is Outcome.CANCELLED and item.state in (State.RUNNING, State.OMITTED):
+                self._move(now, item, State.HELD, told=False)  # taken off the cores with its answer still owed
+            else:
+                if outcome is Outcome.OK and item.ran and item.state is not State.OMITTED:
+                    self._learn(item, now, max(0.0, took_ms - item.call_ms))
+                if item.state is State.CALLING:
+                    self._move(now, item, State.SATISFIED, told=False)
+                del self._in[item.state][ident], self._items[ident]
+        return self._decide(now)
+
+    def at_call(self, now: float, ident: int) -> Result:
+        """A running transaction stands at a call and waits for leave."""
+        item = self._items.get(ident)
+        if item is not None and item.state in (State.RUNNING, State.SPENT, State.OMITTED):
+            if item.state is State.SPENT:  # answered or abandoned: nothing is called for it
+                del self._in[State.SPENT][ident], self._items[ident]
+            else:
+                self._move(now, item, State.AT_CALL, told=False)
+                item.since, item.limit = now, -inf
+        return self._decide(now)
+
+    def call_returned(self, now: float, ident: int, outcome: Outcome, took_ms: float) -> Result:
+        """A call ended; unless it went well its transaction stands at the call again."""
+        item = self._items.get(ident)
+        if item is not None and item.state is State.CALLING:
+            self._count_calls(now)
+            if outcome is Outcome.TIMEOUT:
+                self._lingering.append(now + self._linger)
+            if not outcome.proves_never_ran:
+                self._call_time.learn(now, took_ms)
+            if outcome is Outcome.OK:
+                item.call_ms += now - item.since
+                self._move(now, item, State.RUNNING, told=False)
+            else:
+                self._move(now, item, State.AT_CALL, told=False)
+                # One turned away is not sent again at once: what sheds calls needs fewer of them.
+                item.limit = now + self._call_time.at(now) if outcome.proves_never_ran else -inf
+                if not (item.grading.replayable or outcome.proves_never_ran):  # rule 2
+                    self._move(now, item, State.OMITTED if item.grading.omittable else State.FORFEITED)
+        return self._decide(now)
+
+    def caller_gone(self, now: float, ident: int) -> Result:
+        """Nothing is owed any more."""
+        item = self._items.get(ident)
+        if item is not None and item.state is not State.SPENT:
+            self._move(now, item, State.ABANDONED, told=False)
+        return self._decide(now)
+
+    def drain(self, now: float, kill_ms: float) -> Result:
+        """This server is being taken out and is killed at kill_ms."""
+        self._drain_at, self._kill = now, kill_ms
+        self._result.health = Health(good=False, stored=True)
+        return self._decide(now)
+
+    def timer(self, now: float, gauges: Gauges) -> Result:
+        """A wake that was asked for, with the gauges of the moment."""
+        if now - self._wake_at > WINDOW_MS / 2:
+            self._stood_still = True  # events came late and together: what they measured is the standstill
+        if now >= self._wake_at:
+            self._wake_at = inf
+        if now >= self._window_end and gauges.busy is not None:
+            self._size_limit(gauges.busy)
+        return self._decide(now)
+
+    # Decisions
+
+    def _decide(self, now: float) -> Result:
+        """All that follows from an event, in one order."""
+        if now >= self._window_end:
+            self._close_window(now)
+        self._answer_due(now)
+        self._serve_calls(now)
+        self._start_held(now)
+        self._keep_memory(now)
+        self._speak(now)
+        result, self._result = self._result, Result()
+        return result
+
+    def _move(self, now: float, item: Item, state: State, span_ms: float = 0.0, last: bool = False,
+              told: bool = True) -> None:
+        """The one place where a transaction changes its state; told: the server has to act on it."""
+        before = item.state
+        if told:
+            self._result.changes.append(Change(item.id, state, span_ms, last))
+        if before is State.CALLING:
+            self._count_calls(now)
+            if state in FINAL:  # given up, it stays in the dependency's hands for a while
+                self._lingering.append(now + self._linger)
+        del self._in[before][item.id]
+        if state is State.DISMISSED and item.grading.referenced and not item.ran and item.id in self._entries:
+            del self._entries[item.id]
+            self._result.table.append(Remembrance(item.id, 0.0))
+        if state in FINAL:
+            if before in UNRUN or before is State.PAUSED:
+                del self._items[item.id]
+                return
+            state = State.SPENT  # rule 4: it stays on its core, or at its call, until its end is told
+        item.ran = item.ran or state is State.RUNNING
+        item.state = state
+        self._in[state][item.id] = item
+
+    def _judge_age(self, item: Item, arrival: Arrival, reached: float) -> None:
+        """What is left of the quoted time of a further try, where its caller's first tries show how long it waits."""
+        if arrival.due_ms is None or not self._marks_again:
+            return
+        grading = item.grading
+        longest = grading.patience.get(arrival.caller)
+        if not arrival.again:
+            grading.patience[arrival.caller] = max(longest or 0.0, min(arrival.due_ms - reached, grading.abandon))
+        elif longest is not None:
+            began = arrival.due_ms - longest
+            item.worth_until = min(item.worth_until, began + grading.quoted + grading.stretch * item.work)
+
+    def _rank(self, item: Item, arrival: Arrival, now: float) -> None:
+        """Credit over expected work; a customer's is the mean over what is inside and beyond its share."""
+        worth = 1.0
+        if arrival.customer in self._sent:
+            ring, share = self._sent[arrival.customer], self._shares[arrival.customer]
+            if not (arrival.again and self._marks_again):
+                ring.add(now, 1.0)
+            count = ring.total(now)[1]
+            inside = min(1.0, (share + SIGMAS * sqrt(share)) / max(count, 1e-9))
+            worth = inside + self._beyond * (1 - inside)
+        item.density = item.grading.credit * worth / (1.0 if self._by_work else max(item.work, 1e-9))
+        item.sort = (-item.density, item.worth_until, item.id)
+
+    def _judged(self, item: Item) -> float:
+        """The time by which an answer has to be there to be worth its work."""
+        end = item.worth_until if item.grading.by_quoted else item.due
+        return min(end, self._kill - self._last_words)
+
+    def _whole(self, item: Item, now: float) -> float:
+        return item.work + item.grading.at_calls.at(now)
+
+    def _too_late(self, item: Item, now: float) -> bool:
+        """The design's prediction: held work ahead over the running limit, plus the own mean."""
+        ahead = sum(each.work for each in self._in[State.HELD].values() if each.sort < item.sort)
+        return now + ahead / self._limit + self._whole(item, now) > self._judged(item)
+
+    def _turn_away(self, item: Item, now: float, last: bool = False) -> None:
+        held = sum(each.work for each in self._in[State.HELD].values())
+        advice = held / self._limit * self._random.uniform(0.75, 1.25)  # spread, so that not all come back at once
+        self._move(now, item, State.DISMISSED, min(advice, self._advice_max), last)
+
+    def _learn(self, item: Item, now: float, core_ms: float) -> None:
+        grading = item.grading
+        grading.run.learn(now, core_ms)
+        if item.hint:
+            grading.ratio.learn(now, core_ms / item.hint)
+        if grading.calls:
+            grading.at_calls.learn(now, item.call_ms)
+
+    def _close_window(self, now: float) -> None:
+        if not self._stood_still:  # a standstill says nothing about the load
+            self._weight = self._weight * WEIGHT_CUT if self._early else min(1.0, self._weight + WEIGHT_GAIN)
+        self._early, self._stood_still = 0, False
+        self._window_end = now + WINDOW_MS
+        self._entries = {ident: until for ident, until in self._entries.items() if until > now}
+
+    def _size_limit(self, busy: float) -> None:
+        """The running limit grows while cores idle and work waits, and falls back to the cores."""
+        if busy < BUSY and self._in[State.HELD]:
+            self._limit += 1
+        elif self._limit > self._cores:
+            self._limit -= 1
+
+    def _answer_due(self, now: float) -> None:
+        """Rule 1, and what is given up: held work that cannot be in time, runs worth nothing that can be stopped."""
+        for item in list(self._items.values()):
+            if item.state is State.SPENT:
+                if self._halts and now - item.asked >= WINDOW_MS:
+                    item.asked = now
+                    self._result.changes.append(Change(item.id, State.SPENT))
+                continue
+            last_call = now >= min(item.due, self._kill - self._last_words) - self._margin
+            if item.state is State.HELD:
+                if last_call or now + self._whole(item, now) > self._judged(item):
+                    if item.ran and not item.grading.replayable:
+                        self._move(now, item, State.FORFEITED)
+                    else:
+                        self._turn_away(item, now)
+            elif last_call or (item.state in ON_CORE and self._halts and item.grading.replayable
+                               and now > self._judged(item)):
+                self._move(now, item, State.FORFEITED)
+
+    def _start_held(self, now: float) -> None:
+        held = sorted(self._in[State.HELD].values(), key=lambda each: each.sort)
+        self._pressed = bool(held)
+        crowd = CROWD_PART * self._crowd(now)
+        for item in held:
+            on_cores = self._on_cores()
+            if on_cores >= self._limit or on_cores + len(self._in[State.CALLING]) >= crowd:
+                return
+            if item.ran and not item.grading.replayable:
+                continue
+            if item.grading.calls and len(self._in[State.AT_CALL]) >= self._cores:
+                continue  # a line stands at the calls: more runs would only join it
+            if self._used() + (self._run_factor - 1) * item.kb <= self._memory:
+                self._move(now, item, State.RUNNING)
+
+    def _serve_calls(self, now: float) -> None:
+        """Leave to call, most credit for its work first; what cannot call in time goes on without or is given up."""
+        if not self._in[State.AT_CALL]:
+            return
+        self._count_calls(now)
+        one = self._call_time.at(now)
+        for item in sorted(self._in[State.AT_CALL].values(), key=lambda each: each.sort):
+            end = self._judged(item) if item.grading.replayable else min(item.due, self._kill - self._last_words)
+            left = end - self._margin - now - item.work / 2
+            if left < one and item.grading.omittable:
+                self._move(now, item, State.OMITTED)
+            elif left <= 0 and item.grading.replayable:
+                self._move(now, item, State.FORFEITED)
+            elif item.limit <= now:
+                span = min(max(left, one), self._call_room(now))
+                if span >= one and self._on_cores() + len(self._in[State.CALLING]) < CROWD_PART * self._crowd(now):
+                    self._move(now, item, State.CALLING, span)
+                    item.limit = now + span
+
+    def _call_room(self, now: float) -> float:
+        """Rule 4: the longest call that keeps this server's part in the mean, whatever becomes of the others."""
+        out = self._in[State.CALLING].values()
+        if len(out) + len(self._lingering) + 1 <= self._call_share:
+            return inf
+        promised = sum(max(0.0, each.limit - now) + self._linger for each in out)
+        promised += sum(until - now for until in self._lingering)
+        return self._call_share * self._call_span - self._call_ring.total(now)[0] - promised - self._linger
+
+    def _count_calls(self, now: float) -> None:
+        out = len(self._in[State.CALLING]) + len(self._lingering)
+        self._call_ring.add(now, out * (now - self._call_mark))
+        self._call_mark = now
+        self._lingering = [until for until in self._lingering if until > now]
+
+    def _remember(self, item: Item, now: float, span_ms: float) -> bool:
+        if self._used() + self._entry_kb > self._memory:
+            return False
+        self._entries[item.id] = now + span_ms
+        self._result.table.append(Remembrance(item.id, span_ms))
+        return True
+
+    def _keep_memory(self, now: float) -> None:
+        """Rule 4: what is held yields, least credit for its work first."""
+        held = sorted(self._in[State.HELD].values(), key=lambda each: each.sort)
+        while held and self._used() > self._memory:
+            self._turn_away(held.pop(), now)
+
+    def _speak(self, now: float) -> None:
+        """Outward words that changed: the weight in the callers' meaning, and the next wake."""
+        weight = 0.0 if now >= self._drain_at else self._weight
+        if weight != self._said and self._said_as is not Said.NOTHING:
+            self._result.said = {Said.CHANCE: weight, Said.SLOTS: weight * self._slots_each,
+                                 Said.RANK: 1 - weight}[self._said_as]
+        self._said = weight
+        owed = [min(item.due, self._kill - self._last_words) - self._margin
+                for item in self._items.values() if item.state is not State.SPENT]
+        wake = max(now + self._margin / 2, min([self._window_end, *owed]))
+        if wake < self._wake_at:
+            self._wake_at = wake
+            self._result.wake_in_ms = wake - now
+
+    # Figures of the fourth rule
+
+    def _on_cores(self) -> int:
+        return sum(len(self._in[state]) for state in ON_CORE)
+
+    def _crowd(self, now: float) -> float:
+        warmth = min(1.0, self._cold_from + (1 - self._cold_from) * (now - self._began) / self._cold_ms)
+        return self._cores + self._crowd_more * warmth
+
+    def _used(self) -> float:
+        """Memory: held, running and remembered."""
+        used = self._entry_kb * len(self._entries)
+        for item in self._items.values():
+            used += item.kb * (1.0 if item.state is State.HELD else self._run_factor)
+        return used
--- /dev/null
+++ b/nickelslip/bench/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter that lets the bench drive the decision module."""
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,59 @@
+"""The module and the plain model of the rules must agree on what is allowed, on generated days."""
+
+from hypothesis import given, settings as profile, strategies as st
+
+from nickelslip.admission.interface import Outcome, Stopping
+from tests.helpers import BOOK, PAY, READ, World, settings
+
+EVENTS = st.one_of(
+    st.tuples(st.just("read"), st.sampled_from((READ, PAY, BOOK)), st.floats(1, 80),
+              st.sampled_from((None, 200.0, 900.0)), st.booleans()),
+    st.tuples(st.sampled_from(("end", "call", "back", "gone")), st.integers(0, 9), st.sampled_from(Outcome)),
+    st.tuples(st.just("wait"), st.sampled_from((5.0, 50.0, 400.0))),
+    st.tuples(st.just("drain"), st.sampled_from((600.0, 3000.0))),
+)
+
+
+@profile(derandomize=True, database=None, deadline=None, max_examples=60)
+@given(
+    st.lists(EVENTS, min_size=20, max_size=80), st.sampled_from(Stopping), st.booleans(),
+    st.sampled_from((0.0, 0.4, 2.0)), st.sampled_from((600.0, 3000.0)),
+)
+def test_the_rules_hold_on_any_day(events, stopping, cold, share, memory):
+    world = World(settings(stopping=stopping, cold=cold, call_share=share, memory_kb=memory))
+    fresh = 0
+    for event in events:
+        if world.kill is not None and world.now >= world.kill - 450:
+            break
+        if event[0] == "read":
+            fresh += 1
+            _, grade, kb, told, repeat = event
+            earlier = [ident for ident, one in world.known.items()
+                       if one.grade is BOOK and world.entries.get(ident, 0.0) > world.now]
+            more = {"forerunner": earlier[0]} if repeat and grade is BOOK and earlier else {}
+            world.read(fresh, grade, kb, told, again=repeat, **more)
+        elif event[0] == "wait":
+            world.wait(event[1])
+        elif event[0] == "drain":
+            if world.kill is None:
+                world.drain(event[1])
+        else:
+            step(world, *event)
+    world.wait(4000 if world.kill is None else world.kill - world.now - 10)
+    assert all(one.answers or one.gone for one in world.known.values())
+
+
+def step(world, what, pick, outcome):
+    places = {"end": ("core",), "call": ("core",), "back": ("out",), "gone": ("held", "core", "call", "out")}[what]
+    able = [ident for ident, one in world.known.items()
+            if one.place in places and not (what == "gone" and (one.answers or one.gone))
+            and not (what == "call" and not one.grade.calls)]
+    if not able:
+        return
+    ident = able[pick % len(able)]
+    if what == "end":
+        world.end(ident, Outcome.OK if outcome is not Outcome.ERROR else outcome)
+    elif what == "back":
+        world.back(ident, outcome if outcome is not Outcome.MOOT else Outcome.FULL)
+    else:
+        getattr(world, what)(ident)
