--- a/nickelslip/admission/control.py
+++ b/nickelslip/admission/control.py
@@ -59,6 +59,14 @@
         self._turn(now)
         return sum(self._sums), sum(self._counts)
 
+    def fading(self, now: float) -> list[tuple[float, float]]:
+        """What is left of the sum after each of the coming spans, as its buckets leave one by one."""
+        at, size, left, out = self._turn(now), len(self._sums), sum(self._sums), []
+        for step in range(1, size + 1):
+            out.append((step * self._width, left))
+            left -= self._sums[(at + step) % size]
+        return out
+
 
 class Mean:
     """A learned mean: recent figures, leaning on the long memory while they are few."""
@@ -413,13 +421,15 @@
                     item.limit = now + span
 
     def _call_room(self, now: float) -> float:
-        """Rule 4: the longest call that keeps this server's part in the mean, whatever becomes of the others."""
-        out = self._in[State.CALLING].values()
-        if len(out) + len(self._lingering) + 1 <= self._call_share:
-            return inf
-        promised = sum(max(0.0, each.limit - now) + self._linger for each in out)
-        promised += sum(until - now for until in self._lingering)
-        return self._call_share * self._call_span - self._call_ring.total(now)[0] - promised - self._linger
+        """Rule 4: the longest call that keeps this server's part in the mean of any coming span."""
+        ends = [each.limit - now + self._linger for each in self._in[State.CALLING].values()]
+        ends += [until - now for until in self._lingering]
+        room = inf
+        for ahead, past in self._call_ring.fading(now):
+            free = self._call_share * self._call_span - past - sum(min(max(end, 0.0), ahead) for end in ends)
+            if free < ahead:
+                room = min(room, free - self._linger)
+        return room
 
     def _count_calls(self, now: float) -> None:
         out = len(self._in[State.CALLING]) + len(self._lingering)
