--- a/nickelslip/admission/control.py
+++ b/nickelslip/admission/control.py
@@ -369,6 +369,7 @@
 
     def _answer_due(self, now: float) -> None:
         """Rule 1, and what is given up: held work that cannot be in time, runs worth nothing that can be stopped."""
+        full = self._on_cores() + len(self._in[State.HELD]) > self._limit  # with a core free a long shot may run
         for item in list(self._items.values()):
             if item.state is State.SPENT:
                 if self._halts and now - item.asked >= WINDOW_MS:
@@ -377,7 +378,7 @@
                 continue
             last_call = now >= min(item.due, self._kill - self._last_words) - self._margin
             if item.state is State.HELD:
-                if last_call or now + self._whole(item, now) > self._judged(item):
+                if last_call or (full and now + self._whole(item, now) > self._judged(item)):
                     if item.ran and not item.grading.replayable:
                         self._move(now, item, State.FORFEITED)
                     else:
