--- a/nickelslip/admission/control.py
+++ b/nickelslip/admission/control.py
@@ -192,7 +192,7 @@
             if self._fresh > 0 and arrival.marked and grading.replayable:
                 self._remember(item, now, item.due - now + self._fresh)
             waits = len(self._in[State.HELD]) > 1 or self._on_cores() >= self._limit
-            if waits and self._too_late(item, now):
+            if self._too_late(item, now) if waits else self._hopeless(item, now, full=False):
                 self._early += 1
                 self._turn_away(item, now, arrival.again)
         return self._decide(now)
@@ -340,6 +340,12 @@
         ahead = sum(each.work for each in self._in[State.HELD].values() if each.sort < item.sort)
         return now + ahead / self._limit + self._whole(item, now) > self._judged(item)
 
+    def _hopeless(self, item: Item, now: float, full: bool) -> bool:
+        """Not in time even if it started now. With a core free a hint's word is not enough, only the grade's mean:
+        a server that turned slow sends on what it would only spoil."""
+        own = item.work if full else min(item.work, item.grading.run.at(now))
+        return now + own + item.grading.at_calls.at(now) > self._judged(item)
+
     def _turn_away(self, item: Item, now: float, last: bool = False) -> None:
         held = sum(each.work for each in self._in[State.HELD].values())
         advice = held / self._limit * self._random.uniform(0.75, 1.25)  # spread, so that not all come back at once
@@ -369,7 +375,7 @@
 
     def _answer_due(self, now: float) -> None:
         """Rule 1, and what is given up: held work that cannot be in time, runs worth nothing that can be stopped."""
-        full = self._on_cores() + len(self._in[State.HELD]) > self._limit  # with a core free a long shot may run
+        full = self._on_cores() + len(self._in[State.HELD]) > self._limit
         for item in list(self._items.values()):
             if item.state is State.SPENT:
                 if self._halts and now - item.asked >= WINDOW_MS:
@@ -378,7 +384,7 @@
                 continue
             last_call = now >= min(item.due, self._kill - self._last_words) - self._margin
             if item.state is State.HELD:
-                if last_call or (full and now + self._whole(item, now) > self._judged(item)):
+                if last_call or self._hopeless(item, now, full):
                     if item.ran and not item.grading.replayable:
                         self._move(now, item, State.FORFEITED)
                     else:
