--- a/nickelslip/admission/control.py
+++ b/nickelslip/admission/control.py
@@ -22,6 +22,7 @@
 WINDOW_MS = 100.0  # the weight is judged once a window
 WEIGHT_CUT, WEIGHT_GAIN = 0.8, 0.1  # a window with early dismissals, and a calm one
 LATE_KEEPS = 0.5  # grades that keep less of their credit than this after the quoted time are judged by it
+UNREAD_CUT, UNREAD_KEEP = 1 / 4, 1 / 16  # lying unread so long, as a part of the quoted time, is congestion as well
 GUESS = 1 / 6  # an unlearned mean run time, as a part of the quoted time
 CALL_GUESS = 1 / 32  # an unlearned mean call, likewise
 SPAN = 2.0  # what is learned looks back over so many of the longest quoted time
@@ -160,7 +161,7 @@
         self._in: dict[State, dict[int, Item]] = {state: {} for state in State}
         self._entries: dict[int, float] = {}  # remembered transactions, and when each is forgotten
         self._limit = float(settings.cores)
-        self._weight, self._early, self._stood_still, self._pressed = 1.0, 0, False, False
+        self._weight, self._early, self._unread, self._stood_still = 1.0, 0, 0.0, False
         self._window_end, self._wake_at = now + WINDOW_MS, inf
         self._drain_at = self._kill = inf
         self._said = 1.0
@@ -180,6 +181,7 @@
         item = Item(arrival, grading, now)
         self._items[item.id] = self._in[State.HELD][item.id] = item
         reached = now - arrival.unread_ms
+        self._unread = max(self._unread, arrival.unread_ms / grading.quoted)
         self._judge_age(item, arrival, reached)
         self._rank(item, arrival, now)
         if reached > self._drain_at + self._grace:  # rule 3
@@ -361,8 +363,11 @@
 
     def _close_window(self, now: float) -> None:
         if not self._stood_still:  # a standstill says nothing about the load
-            self._weight = self._weight * WEIGHT_CUT if self._early else min(1.0, self._weight + WEIGHT_GAIN)
-        self._early, self._stood_still = 0, False
+            if self._early or self._unread > UNREAD_CUT:
+                self._weight *= WEIGHT_CUT
+            elif self._unread <= UNREAD_KEEP:
+                self._weight = min(1.0, self._weight + WEIGHT_GAIN)
+        self._early, self._unread, self._stood_still = 0, 0.0, False
         self._window_end = now + WINDOW_MS
         self._entries = {ident: until for ident, until in self._entries.items() if until > now}
 
@@ -395,7 +400,6 @@
 
     def _start_held(self, now: float) -> None:
         held = sorted(self._in[State.HELD].values(), key=lambda each: each.sort)
-        self._pressed = bool(held)
         crowd = CROWD_PART * self._crowd(now)
         for item in held:
             on_cores = self._on_cores()
