--- a/nickelslip/admission/control.py
+++ b/nickelslip/admission/control.py
@@ -22,6 +22,7 @@
 WINDOW_MS = 100.0  # the weight is judged once a window
 WEIGHT_CUT, WEIGHT_GAIN = 0.8, 0.1  # a window with early dismissals, and a calm one
 LATE_KEEPS = 0.5  # grades that keep less of their credit than this after the quoted time are judged by it
+LAST_UNDER = 0.6  # under this weight a dismissal says that another server would not help
 UNREAD_CUT, UNREAD_KEEP = 1 / 4, 1 / 16  # lying unread so long, as a part of the quoted time, is congestion as well
 GUESS = 1 / 6  # an unlearned mean run time, as a part of the quoted time
 CALL_GUESS = 1 / 32  # an unlearned mean call, likewise
@@ -196,7 +197,7 @@
             waits = len(self._in[State.HELD]) > 1 or self._on_cores() >= self._limit
             if self._too_late(item, now) if waits else self._hopeless(item, now, full=False):
                 self._early += 1
-                self._turn_away(item, now, arrival.again)
+                self._turn_away(item, now, arrival.again or self._weight < LAST_UNDER)
         return self._decide(now)
 
     def ended(self, now: float, ident: int, outcome: Outcome, took_ms: float) -> Result:
