--- a/nickelslip/admission/control.py
+++ b/nickelslip/admission/control.py
@@ -374,7 +374,9 @@
 
     def _size_limit(self, busy: float) -> None:
         """The running limit grows while cores idle and work waits, and falls back to the cores."""
-        if busy < BUSY and self._in[State.HELD]:
+        if self._unread > UNREAD_CUT:
+            self._limit = max(self._cores / 2, self._limit - 1)
+        elif self._limit < self._cores or (busy < BUSY and self._in[State.HELD]):
             self._limit += 1
         elif self._limit > self._cores:
             self._limit -= 1
