--- a/nickelslip/admission/control.py
+++ b/nickelslip/admission/control.py
@@ -33,6 +33,7 @@
 CROWD_PART = 0.7  # of the crowd that a server survives, all that can be on the cores at once
 MEMORY_PART = 0.97
 CALL_PART = 0.85  # of the calls that are this server's part, in the mean
+AGAIN_WORTH = 0.5  # a further try's age is not told: its quoted time may be over already
 SIGMAS = 2.0  # a customer is beyond its share when its count is so many deviations above it
 
 
@@ -327,6 +328,8 @@
             count = ring.total(now)[1]
             inside = min(1.0, (share + SIGMAS * sqrt(share)) / max(count, 1e-9))
             worth = inside + self._beyond * (1 - inside)
+        if arrival.again and self._marks_again:
+            worth *= AGAIN_WORTH
         item.density = item.grading.credit * worth / (1.0 if self._by_work else max(item.work, 1e-9))
         item.sort = (-item.density, item.worth_until, item.id)
 
