Calls out at once shrink while calls are slow

Guards against whatever crowds or slows the dependency; harm: a slow answer in a quiet second makes calls wait for no reason.

--- a/nickelslip/admission/control.py
+++ b/nickelslip/admission/control.py
@@ -33,6 +33,7 @@
 CROWD_PART = 0.7  # of the crowd that a server survives, all that can be on the cores at once
 MEMORY_PART = 0.97
 CALL_PART = 0.85  # of the calls that are this server's part, in the mean
+CALLS_SLOW = 3.0  # calls that take so many times the best mean yet show a crowded dependency
 AGAIN_WORTH = 0.5  # a further try's age is not told: its quoted time may be over already
 SIGMAS = 2.0  # a customer is beyond its share when its count is so many deviations above it
 
@@ -83,6 +84,9 @@
         self._long += (figure - self._long) / min(self._seen + 1, 64)
         self._recent.add(now, figure)
 
+    def recent(self, now: float) -> tuple[float, float]:
+        return self._recent.total(now)
+
     def at(self, now: float) -> float:
         total, count = self._recent.total(now)
         return (total + TRUST * self._long) / (count + TRUST)
@@ -159,6 +163,8 @@
         self._call_ring, self._call_mark = Ring(self._call_span * 17 / 16), now
         self._lingering: list[float] = []  # when each call given up leaves
         self._call_time = Mean(min(grade.quoted_ms for grade in settings.grades) * CALL_GUESS, span)
+        self._call_lately, self._call_best = Ring(10 * WINDOW_MS), inf
+        self._call_limit = self._call_share
         self._items: dict[int, Item] = {}
         self._in: dict[State, dict[int, Item]] = {state: {} for state in State}
         self._entries: dict[int, float] = {}  # remembered transactions, and when each is forgotten
@@ -235,8 +241,9 @@
                 self._lingering.append(now + self._linger)
             if not outcome.proves_never_ran:
                 self._call_time.learn(now, took_ms)
+                self._call_lately.add(now, took_ms)
+            item.call_ms, item.since = item.call_ms + now - item.since, now
             if outcome is Outcome.OK:
-                item.call_ms += now - item.since
                 self._move(now, item, State.RUNNING, told=False)
             else:
                 self._move(now, item, State.AT_CALL, told=False)
@@ -371,10 +378,25 @@
                 self._weight *= WEIGHT_CUT
             elif self._unread <= UNREAD_KEEP:
                 self._weight = min(1.0, self._weight + WEIGHT_GAIN)
+        self._size_calls(now)
         self._early, self._unread, self._stood_still = 0, 0.0, False
         self._window_end = now + WINDOW_MS
         self._entries = {ident: until for ident, until in self._entries.items() if until > now}
 
+    def _size_calls(self, now: float) -> None:
+        """How many calls may be out: fewer while they are slow, since what is crowded answers less in all.
+        It covers whatever slows the calls; a single slow answer in a quiet second may cut it for no reason."""
+        total, count = self._call_lately.total(now)
+        out = [now - each.since for each in self._in[State.CALLING].values()]
+        mean = (total + sum(out)) / (count + len(out)) if count + len(out) else 0.0
+        if mean > CALLS_SLOW * self._call_best:
+            self._call_limit = max(1.0, self._call_limit * WEIGHT_CUT)
+        else:
+            self._call_limit = min(self._call_share, self._call_limit + WEIGHT_GAIN)
+        total, count = self._call_time.recent(now)
+        if count >= self._cores:
+            self._call_best = min(self._call_best, total / count)
+
     def _size_limit(self, busy: float) -> None:
         """The running limit grows while cores idle and work waits, and falls back to the cores."""
         if self._unread > UNREAD_CUT:
@@ -433,9 +455,12 @@
                 self._move(now, item, State.FORFEITED)
             elif item.limit <= now:
                 span = min(max(left, one), self._call_room(now))
+                out = len(self._in[State.CALLING]) + len(self._lingering)
+                if out + 1 > max(1.0, self._call_limit):
+                    continue
                 if span >= one and self._on_cores() + len(self._in[State.CALLING]) < CROWD_PART * self._crowd(now):
                     self._move(now, item, State.CALLING, span)
-                    item.limit = now + span
+                    item.limit, item.call_ms, item.since = now + span, item.call_ms + now - item.since, now
 
     def _call_room(self, now: float) -> float:
         """Rule 4: the longest call that keeps this server's part in the mean of any coming span."""
