--- a/nickelslip/admission/control.py
+++ b/nickelslip/admission/control.py
@@ -170,6 +170,7 @@
         self._entries: dict[int, float] = {}  # remembered transactions, and when each is forgotten
         self._limit = float(settings.cores)
         self._weight, self._early, self._unread, self._stood_still = 1.0, 0, 0.0, False
+        self._reads, self._busy, self._unread_ms = 0, 0.0, 0.0
         self._window_end, self._wake_at = now + WINDOW_MS, inf
         self._drain_at = self._kill = inf
         self._said = 1.0
@@ -190,6 +191,7 @@
         self._items[item.id] = self._in[State.HELD][item.id] = item
         reached = now - arrival.unread_ms
         self._unread = max(self._unread, arrival.unread_ms / grading.quoted)
+        self._reads, self._unread_ms = self._reads + 1, arrival.unread_ms
         self._judge_age(item, arrival, reached)
         self._rank(item, arrival, now)
         if reached > self._drain_at + self._grace:  # rule 3
@@ -203,7 +205,6 @@
                 self._remember(item, now, item.due - now + self._fresh)
             waits = len(self._in[State.HELD]) > 1 or self._on_cores() >= self._limit
             if self._too_late(item, now) if waits else self._hopeless(item, now, full=False):
-                self._early += 1
                 self._turn_away(item, now, arrival.again or self._weight < LAST_UNDER)
         return self._decide(now)
 
@@ -273,7 +274,8 @@
         if now >= self._wake_at:
             self._wake_at = inf
         if now >= self._window_end and gauges.busy is not None:
-            self._size_limit(gauges.busy)
+            self._busy = gauges.busy
+            self._size_limit()
         return self._decide(now)
 
     # Decisions
@@ -360,8 +362,9 @@
         return now + own + item.grading.at_calls.at(now) > self._judged(item)
 
     def _turn_away(self, item: Item, now: float, last: bool = False) -> None:
+        self._early += 1
         held = sum(each.work for each in self._in[State.HELD].values())
-        advice = held / self._limit * self._random.uniform(0.75, 1.25)  # spread, so that not all come back at once
+        advice = (self._unread_ms + held / self._limit) * self._random.uniform(0.75, 1.25)  # spread, so that not all come back at once
         self._move(now, item, State.DISMISSED, min(advice, self._advice_max), last)
 
     def _learn(self, item: Item, now: float, core_ms: float) -> None:
@@ -376,10 +379,10 @@
         if not self._stood_still:  # a standstill says nothing about the load
             if self._early or self._unread > UNREAD_CUT:
                 self._weight *= WEIGHT_CUT
-            elif self._unread <= UNREAD_KEEP:
+            elif self._unread <= UNREAD_KEEP and (self._reads or self._busy < BUSY):
                 self._weight = min(1.0, self._weight + WEIGHT_GAIN)
         self._size_calls(now)
-        self._early, self._unread, self._stood_still = 0, 0.0, False
+        self._early, self._reads, self._unread, self._stood_still = 0, 0, 0.0, False
         self._window_end = now + WINDOW_MS
         self._entries = {ident: until for ident, until in self._entries.items() if until > now}
 
@@ -397,11 +400,11 @@
         if count >= self._cores:
             self._call_best = min(self._call_best, total / count)
 
-    def _size_limit(self, busy: float) -> None:
+    def _size_limit(self) -> None:
         """The running limit grows while cores idle and work waits, and falls back to the cores."""
         if self._unread > UNREAD_CUT:
             self._limit = max(self._cores / 2, self._limit - 1)
-        elif self._limit < self._cores or (busy < BUSY and self._in[State.HELD]):
+        elif self._limit < self._cores or (self._busy < BUSY and self._in[State.HELD]):
             self._limit += 1
         elif self._limit > self._cores:
             self._limit -= 1
