--- a/nickelslip/admission/control.py
+++ b/nickelslip/admission/control.py
@@ -113,7 +113,7 @@
     """A transaction in this server's hands."""
 
     __slots__ = ("id", "grading", "kb", "due", "worth_until", "work", "state", "ran", "density", "call_ms", "since",
-                 "limit", "hint", "asked", "sort")
+                 "limit", "hint", "asked", "sort", "began")
 
     def __init__(self, arrival: Arrival, grading: Grading, now: float) -> None:
         self.id, self.grading, self.kb, self.hint = arrival.id, grading, arrival.kb, arrival.cost_hint_ms
@@ -123,7 +123,7 @@
         self.worth_until = min(self.due, reached + min(grading.quoted + grading.stretch * self.work, grading.abandon))
         self.state, self.ran, self.density, self.asked = State.HELD, False, 0.0, -inf
         self.call_ms, self.since, self.limit = 0.0, now, inf  # time at calls; begin and end of the present one
-        self.sort = (0.0, 0.0, 0)
+        self.sort, self.began = (0.0, 0.0, 0), now
 
 
 FINAL = (State.SATISFIED, State.DISMISSED, State.FORFEITED, State.ABANDONED)
@@ -168,7 +168,7 @@
         self._items: dict[int, Item] = {}
         self._in: dict[State, dict[int, Item]] = {state: {} for state in State}
         self._entries: dict[int, float] = {}  # remembered transactions, and when each is forgotten
-        self._limit = float(settings.cores)
+        self._limit = self._turning = float(settings.cores)
         self._weight, self._early, self._unread, self._stood_still = 1.0, 0, 0.0, False
         self._reads, self._busy, self._unread_ms = 0, 0.0, 0.0
         self._window_end, self._wake_at = now + WINDOW_MS, inf
@@ -311,7 +311,8 @@
                 del self._items[item.id]
                 return
             state = State.SPENT  # rule 4: it stays on its core, or at its call, until its end is told
-        item.ran = item.ran or state is State.RUNNING
+        if before is State.HELD:
+            item.ran, item.began = item.ran or state is State.RUNNING, now
         item.state = state
         self._in[state][item.id] = item
 
@@ -353,7 +354,7 @@
     def _too_late(self, item: Item, now: float) -> bool:
         """The design's prediction: held work ahead over the running limit, plus the own mean."""
         ahead = sum(each.work for each in self._in[State.HELD].values() if each.sort < item.sort)
-        return now + ahead / self._limit + self._whole(item, now) > self._judged(item)
+        return now + ahead / self._turning + self._whole(item, now) > self._judged(item)
 
     def _hopeless(self, item: Item, now: float, full: bool) -> bool:
         """Not in time even if it started now. With a core free a hint's word is not enough, only the grade's mean:
@@ -382,6 +383,7 @@
             elif self._unread <= UNREAD_KEEP and (self._reads or self._busy < BUSY):
                 self._weight = min(1.0, self._weight + WEIGHT_GAIN)
         self._size_calls(now)
+        self._count_turning(now)
         self._early, self._reads, self._unread, self._stood_still = 0, 0, 0.0, False
         self._window_end = now + WINDOW_MS
         self._entries = {ident: until for ident, until in self._entries.items() if until > now}
@@ -400,6 +402,13 @@
         if count >= self._cores:
             self._call_best = min(self._call_best, total / count)
 
+    def _count_turning(self, now: float) -> None:
+        """The slots that turn over: a run far past its mean frees none soon. It covers cores that hang, a server
+        that turned slow and costly transactions; a grade whose work varies widely is judged a little too hard."""
+        stuck = sum(now - each.began - each.call_ms > OUTLIER * max(each.work, each.grading.run.at(now))
+                    for state in ON_CORE for each in self._in[state].values())
+        self._turning = max(self._limit - stuck, 1e-3)
+
     def _size_limit(self) -> None:
         """The running limit grows while cores idle and work waits, and falls back to the cores."""
         if self._unread > UNREAD_CUT:
