--- a/nickelslip/admission/control.py
+++ b/nickelslip/admission/control.py
@@ -28,6 +28,7 @@
 CALL_GUESS = 1 / 32  # an unlearned mean call, likewise
 SPAN = 2.0  # what is learned looks back over so many of the longest quoted time
 TRUST = 2.0  # runs' worth of long memory mixed into the recent mean
+SPREAD = 1.4  # a prediction at the door allows for work that will come ahead and for runs longer than the mean
 OUTLIER = 4.0  # a run counts for so many means at most
 BUSY = 0.9  # under this share of busy cores they count as idle
 CROWD_PART = 0.7  # of the crowd that a server survives, all that can be on the cores at once
@@ -354,7 +355,7 @@
     def _too_late(self, item: Item, now: float) -> bool:
         """The design's prediction: held work ahead over the running limit, plus the own mean."""
         ahead = sum(each.work for each in self._in[State.HELD].values() if each.sort < item.sort)
-        return now + ahead / self._turning + self._whole(item, now) > self._judged(item)
+        return now + SPREAD * (ahead / self._turning + self._whole(item, now)) > self._judged(item)
 
     def _hopeless(self, item: Item, now: float, full: bool) -> bool:
         """Not in time even if it started now. With a core free a hint's word is not enough, only the grade's mean:
