--- a/nickelslip/admission/control.py
+++ b/nickelslip/admission/control.py
@@ -367,7 +367,9 @@
         self._early += 1
         held = sum(each.work for each in self._in[State.HELD].values())
         advice = (self._unread_ms + held / self._limit) * self._random.uniform(0.75, 1.25)  # spread, so that not all come back at once
-        self._move(now, item, State.DISMISSED, min(advice, self._advice_max), last)
+        if now >= self._drain_at:
+            advice = self._advice_max  # this server will not be back for this caller
+        self._move(now, item, State.DISMISSED, min(advice, self._advice_max), last and now < self._drain_at)
 
     def _learn(self, item: Item, now: float, core_ms: float) -> None:
         grading = item.grading
