--- a/nickelslip/admission/control.py
+++ b/nickelslip/admission/control.py
@@ -16,19 +16,20 @@
 from math import inf, sqrt
 
 from nickelslip.admission.interface import (
-    Arrival, Change, Gauges, Grade, Health, Outcome, Remembrance, Repeat, Result, Said, Settings, State, Stopping,
+    Arrival, Change, Gauges, Grade, Health, Outcome, Remembrance, Repeat, Result, Said, Settings, State,
+    Stopping,
 )
 
 WINDOW_MS = 100.0  # the weight is judged once a window
 WEIGHT_CUT, WEIGHT_GAIN = 0.8, 0.1  # a window with early dismissals, and a calm one
 LATE_KEEPS = 0.5  # grades that keep less of their credit than this after the quoted time are judged by it
 LAST_UNDER = 0.6  # under this weight a dismissal says that another server would not help
-UNREAD_CUT, UNREAD_KEEP = 1 / 4, 1 / 16  # lying unread so long, as a part of the quoted time, is congestion as well
+UNREAD_CUT, UNREAD_KEEP = 1 / 4, 1 / 16  # lying unread for such a part of the quoted time is congestion too
 GUESS = 1 / 6  # an unlearned mean run time, as a part of the quoted time
 CALL_GUESS = 1 / 32  # an unlearned mean call, likewise
 SPAN = 2.0  # what is learned looks back over so many of the longest quoted time
 TRUST = 2.0  # runs' worth of long memory mixed into the recent mean
-SPREAD = 2.0  # a prediction at the door allows for work that will come ahead and for runs longer than the mean
+SPREAD = 2.0  # a prediction at the door allows for work that will come ahead and for runs over the mean
 OUTLIER = 4.0  # a run counts for so many means at most
 BUSY = 0.9  # under this share of busy cores they count as idle
 CROWD_PART = 0.7  # of the crowd that a server survives, all that can be on the cores at once
@@ -113,7 +114,7 @@
 class Item:
     """A transaction in this server's hands."""
 
-    __slots__ = ("id", "grading", "kb", "due", "worth_until", "work", "state", "ran", "density", "call_ms", "since",
+    __slots__ = ("id", "grading", "kb", "due", "worth_until", "work", "state", "ran", "call_ms", "since",
                  "limit", "hint", "asked", "sort", "began")
 
     def __init__(self, arrival: Arrival, grading: Grading, now: float) -> None:
@@ -121,9 +122,9 @@
         reached = now - arrival.unread_ms
         self.due = max(now, arrival.due_ms if arrival.due_ms is not None else reached + grading.abandon)
         self.work = grading.run.at(now) if self.hint is None else self.hint * grading.ratio.at(now)
-        self.worth_until = min(self.due, reached + min(grading.quoted + grading.stretch * self.work, grading.abandon))
-        self.state, self.ran, self.density, self.asked = State.HELD, False, 0.0, -inf
-        self.call_ms, self.since, self.limit = 0.0, now, inf  # time at calls; begin and end of the present one
+        self.worth_until = min(self.due, reached + grading.quoted + grading.stretch * self.work)
+        self.state, self.ran, self.asked = State.HELD, False, -inf
+        self.call_ms, self.since, self.limit = 0.0, now, inf  # time at calls; when this one began, and ends
         self.sort, self.began = (0.0, 0.0, 0), now
 
 
@@ -158,7 +159,7 @@
         self._slots_each = settings.cores * settings.crowd_multiple / settings.callers
         self._checks_work = settings.checks_work
         told = settings.call_share > 0 and settings.call_span_ms > 0
-        self._call_share = settings.call_share * CALL_PART if told else settings.cores * settings.crowd_multiple
+        self._call_share = settings.call_share * CALL_PART if told else self._cores + self._crowd_more
         self._call_span = settings.call_span_ms if told else span
         self._linger = settings.call_linger_ms
         self._call_ring, self._call_mark = Ring(self._call_span * 17 / 16), now
@@ -197,7 +198,7 @@
         self._rank(item, arrival, now)
         if reached > self._drain_at + self._grace:  # rule 3
             self._turn_away(item, now)
-        elif arrival.forerunner is not None and (grading.referenced or (grading.replayable and self._fresh > 0)):
+        elif arrival.forerunner is not None and (grading.referenced or (grading.replayable and self._fresh)):
             self._move(now, item, State.JOINED)  # rule 2: a repeat takes its forerunner's result, run or not
         elif grading.referenced and not self._remember(item, now, max(grading.window, item.due - now)):
             self._turn_away(item, now)  # unremembered it must not run
@@ -214,7 +215,7 @@
         item = self._items.get(ident)
         if item is not None:
             if outcome is Outcome.CANCELLED and item.state in (State.RUNNING, State.OMITTED):
-                self._move(now, item, State.HELD, told=False)  # taken off the cores with its answer still owed
+                self._move(now, item, State.HELD, told=False)  # off the cores, its answer still owed
             else:
                 if outcome is Outcome.OK and item.ran and item.state is not State.OMITTED:
                     self._learn(item, now, max(0.0, took_ms - item.call_ms))
@@ -318,16 +319,17 @@
         self._in[state][item.id] = item
 
     def _judge_age(self, item: Item, arrival: Arrival, reached: float) -> None:
-        """What is left of the quoted time of a further try, where its caller's first tries show how long it waits."""
+        """The quoted time of a further try, where its caller's first tries show how long that one waits."""
         if arrival.due_ms is None or not self._marks_again:
             return
         grading = item.grading
         longest = grading.patience.get(arrival.caller)
         if not arrival.again:
-            grading.patience[arrival.caller] = max(longest or 0.0, min(arrival.due_ms - reached, grading.abandon))
+            wait = min(arrival.due_ms - reached, grading.abandon)
+            grading.patience[arrival.caller] = max(longest or 0.0, wait)
         elif longest is not None:
-            began = arrival.due_ms - longest
-            item.worth_until = min(item.worth_until, began + grading.quoted + grading.stretch * item.work)
+            latest = arrival.due_ms - longest + grading.quoted + grading.stretch * item.work
+            item.worth_until = min(item.worth_until, latest)
 
     def _rank(self, item: Item, arrival: Arrival, now: float) -> None:
         """Credit over expected work; a customer's is the mean over what is inside and beyond its share."""
@@ -341,13 +343,16 @@
             worth = inside + self._beyond * (1 - inside)
         if arrival.again and self._marks_again:
             worth *= AGAIN_WORTH
-        item.density = item.grading.credit * worth / (1.0 if self._by_work else max(item.work, 1e-9))
-        item.sort = (-item.density, item.worth_until, item.id)
+        density = item.grading.credit * worth / (1.0 if self._by_work else max(item.work, 1e-9))
+        item.sort = (-density, item.worth_until, item.id)
 
     def _judged(self, item: Item) -> float:
         """The time by which an answer has to be there to be worth its work."""
-        end = item.worth_until if item.grading.by_quoted else item.due
-        return min(end, self._kill - self._last_words)
+        return min(self._owed(item), item.worth_until if item.grading.by_quoted else inf)
+
+    def _owed(self, item: Item) -> float:
+        """The time by which it has to be answered, whatever becomes of it."""
+        return min(item.due, self._kill - self._last_words)
 
     def _whole(self, item: Item, now: float) -> float:
         return item.work + item.grading.at_calls.at(now)
@@ -358,15 +363,16 @@
         return now + SPREAD * (ahead / self._turning + self._whole(item, now)) > self._judged(item)
 
     def _hopeless(self, item: Item, now: float, full: bool) -> bool:
-        """Not in time even if it started now. With a core free a hint's word is not enough, only the grade's mean:
-        a server that turned slow sends on what it would only spoil."""
+        """Not in time even if it started now. With a core free a hint's word is not enough, only the grade's
+        mean: a server that turned slow sends on what it would only spoil."""
         own = item.work if full else min(item.work, item.grading.run.at(now))
         return now + own + item.grading.at_calls.at(now) > self._judged(item)
 
     def _turn_away(self, item: Item, now: float, last: bool = False) -> None:
         self._early += 1
         held = sum(each.work for each in self._in[State.HELD].values())
-        advice = (self._unread_ms + held / self._limit) * self._random.uniform(0.75, 1.25)  # spread, so that not all come back at once
+        spread = self._random.uniform(0.75, 1.25)  # so that not all come back at once
+        advice = (self._unread_ms + held / self._limit) * spread
         if now >= self._drain_at:
             advice = self._advice_max  # this server will not be back for this caller
         self._move(now, item, State.DISMISSED, min(advice, self._advice_max), last and now < self._drain_at)
@@ -392,8 +398,8 @@
         self._entries = {ident: until for ident, until in self._entries.items() if until > now}
 
     def _size_calls(self, now: float) -> None:
-        """How many calls may be out: fewer while they are slow, since what is crowded answers less in all.
-        It covers whatever slows the calls; a single slow answer in a quiet second may cut it for no reason."""
+        """How many calls may be out: fewer while they are slow, since what is crowded answers less in all. It
+        covers whatever slows the calls; a slow answer in a quiet second may cut it for no reason."""
         total, count = self._call_lately.total(now)
         out = [now - each.since for each in self._in[State.CALLING].values()]
         mean = (total + sum(out)) / (count + len(out)) if count + len(out) else 0.0
@@ -406,8 +412,8 @@
             self._call_best = min(self._call_best, total / count)
 
     def _count_turning(self, now: float) -> None:
-        """The slots that turn over: a run far past its mean frees none soon. It covers cores that hang, a server
-        that turned slow and costly transactions; a grade whose work varies widely is judged a little too hard."""
+        """The slots that turn over: a run far past its mean frees none soon. It covers cores that hang, a
+        server that turned slow and costly transactions; widely varying work is judged a little too hard."""
         stuck = sum(now - each.began - each.call_ms > OUTLIER * max(each.work, each.grading.run.at(now))
                     for state in ON_CORE for each in self._in[state].values())
         self._turning = max(self._limit - stuck, 1e-3)
@@ -422,7 +428,7 @@
             self._limit -= 1
 
     def _answer_due(self, now: float) -> None:
-        """Rule 1, and what is given up: held work that cannot be in time, runs worth nothing that can be stopped."""
+        """Rule 1, and what is given up: held work that cannot be in time, and runs worth nothing."""
         full = self._on_cores() + len(self._in[State.HELD]) > self._limit
         for item in list(self._items.values()):
             if item.state is State.SPENT:
@@ -430,7 +436,7 @@
                     item.asked = now
                     self._result.changes.append(Change(item.id, State.SPENT))
                 continue
-            last_call = now >= min(item.due, self._kill - self._last_words) - self._margin
+            last_call = now >= self._owed(item) - self._margin
             if item.state is State.HELD:
                 if last_call or self._hopeless(item, now, full):
                     if item.ran and not item.grading.replayable:
@@ -456,13 +462,13 @@
                 self._move(now, item, State.RUNNING)
 
     def _serve_calls(self, now: float) -> None:
-        """Leave to call, most credit for its work first; what cannot call in time goes on without or is given up."""
+        """Leave to call, most credit for its work first; what cannot goes on without or is given up."""
         if not self._in[State.AT_CALL]:
             return
         self._count_calls(now)
         one = self._call_time.at(now)
         for item in sorted(self._in[State.AT_CALL].values(), key=lambda each: each.sort):
-            end = self._judged(item) if item.grading.replayable else min(item.due, self._kill - self._last_words)
+            end = self._judged(item) if item.grading.replayable else self._owed(item)
             left = end - self._margin - now - item.work / 2
             if left < one and item.grading.omittable:
                 self._move(now, item, State.OMITTED)
@@ -470,10 +476,9 @@
                 self._move(now, item, State.FORFEITED)
             elif item.limit <= now:
                 span = min(max(left, one), self._call_room(now))
-                out = len(self._in[State.CALLING]) + len(self._lingering)
-                if out + 1 > max(1.0, self._call_limit):
-                    continue
-                if span >= one and self._on_cores() + len(self._in[State.CALLING]) < CROWD_PART * self._crowd(now):
+                out = len(self._in[State.CALLING])
+                fits = out + len(self._lingering) + 1 <= max(1.0, self._call_limit)
+                if fits and span >= one and self._on_cores() + out < CROWD_PART * self._crowd(now):
                     self._move(now, item, State.CALLING, span)
                     item.limit, item.call_ms, item.since = now + span, item.call_ms + now - item.since, now
 
@@ -514,9 +519,9 @@
             self._result.said = {Said.CHANCE: weight, Said.SLOTS: weight * self._slots_each,
                                  Said.RANK: 1 - weight}[self._said_as]
         self._said = weight
-        owed = [min(item.due, self._kill - self._last_words) - self._margin
-                for item in self._items.values() if item.state is not State.SPENT]
-        wake = max(now + self._margin / 2, min([self._window_end, *owed]))
+        owed = min((self._owed(item) for item in self._items.values()
+                    if item.state is not State.SPENT), default=inf)
+        wake = max(now + self._margin / 2, min(self._window_end, owed - self._margin))
         if wake < self._wake_at:
             self._wake_at = wake
             self._result.wake_in_ms = wake - now
