--- a/nickelslip/admission/control.py
+++ b/nickelslip/admission/control.py
@@ -24,13 +24,13 @@
 WEIGHT_CUT, WEIGHT_GAIN = 0.8, 0.1  # a window with early dismissals, and a calm one
 LATE_KEEPS = 0.5  # grades that keep less of their credit than this after the quoted time are judged by it
 LAST_UNDER = 0.6  # under this weight a dismissal says that another server would not help
-UNREAD_CUT, UNREAD_KEEP = 1 / 4, 1 / 16  # lying unread for such a part of the quoted time is congestion too
+UNREAD_CUT, UNREAD_KEEP = 1 / 6, 1 / 12  # lying unread for such a part of the quoted time is congestion too
 GUESS = 1 / 6  # an unlearned mean run time, as a part of the quoted time
 CALL_GUESS = 1 / 32  # an unlearned mean call, likewise
 SPAN = 2.0  # what is learned looks back over so many of the longest quoted time
 TRUST = 2.0  # runs' worth of long memory mixed into the recent mean
 SPREAD = 2.0  # a prediction at the door allows for work that will come ahead and for runs over the mean
-OUTLIER = 4.0  # a run counts for so many means at most
+STUCK = 4.0  # a run over so many means frees no slot soon
 BUSY = 0.9  # under this share of busy cores they count as idle
 CROWD_PART = 0.7  # of the crowd that a server survives, all that can be on the cores at once
 MEMORY_PART = 0.97
@@ -81,7 +81,6 @@
         self._recent, self._long, self._seen = Ring(span_ms), guess, 0
 
     def learn(self, now: float, figure: float) -> None:
-        figure = min(figure, OUTLIER * self.at(now))  # a few far costlier than the rest don't move it for all
         self._seen += 1
         self._long += (figure - self._long) / min(self._seen + 1, 64)
         self._recent.add(now, figure)
@@ -108,7 +107,6 @@
         self.run = Mean(grade.quoted_ms * GUESS, span_ms)  # time on a core
         self.ratio = Mean(1.0, span_ms)  # that time over the cost hint
         self.at_calls = Mean(grade.quoted_ms * CALL_GUESS if grade.calls else 0.0, span_ms)
-        self.patience: dict[int | None, float] = {}  # by caller: the longest told wait of a first try
 
 
 class Item:
@@ -194,7 +192,6 @@
         reached = now - arrival.unread_ms
         self._unread = max(self._unread, arrival.unread_ms / grading.quoted)
         self._reads, self._unread_ms = self._reads + 1, arrival.unread_ms
-        self._judge_age(item, arrival, reached)
         self._rank(item, arrival, now)
         if reached > self._drain_at + self._grace:  # rule 3
             self._turn_away(item, now)
@@ -318,19 +315,6 @@
         item.state = state
         self._in[state][item.id] = item
 
-    def _judge_age(self, item: Item, arrival: Arrival, reached: float) -> None:
-        """The quoted time of a further try, where its caller's first tries show how long that one waits."""
-        if arrival.due_ms is None or not self._marks_again:
-            return
-        grading = item.grading
-        longest = grading.patience.get(arrival.caller)
-        if not arrival.again:
-            wait = min(arrival.due_ms - reached, grading.abandon)
-            grading.patience[arrival.caller] = max(longest or 0.0, wait)
-        elif longest is not None:
-            latest = arrival.due_ms - longest + grading.quoted + grading.stretch * item.work
-            item.worth_until = min(item.worth_until, latest)
-
     def _rank(self, item: Item, arrival: Arrival, now: float) -> None:
         """Credit over expected work; a customer's is the mean over what is inside and beyond its share."""
         worth = 1.0
@@ -360,7 +344,8 @@
     def _too_late(self, item: Item, now: float) -> bool:
         """The design's prediction: held work ahead over the running limit, plus the own mean."""
         ahead = sum(each.work for each in self._in[State.HELD].values() if each.sort < item.sort)
-        return now + SPREAD * (ahead / self._turning + self._whole(item, now)) > self._judged(item)
+        wait = ahead / self._turning if self._turning else inf
+        return now + SPREAD * (wait + self._whole(item, now)) > self._judged(item)
 
     def _hopeless(self, item: Item, now: float, full: bool) -> bool:
         """Not in time even if it started now. With a core free a hint's word is not enough, only the grade's
@@ -414,9 +399,9 @@
     def _count_turning(self, now: float) -> None:
         """The slots that turn over: a run far past its mean frees none soon. It covers cores that hang, a
         server that turned slow and costly transactions; widely varying work is judged a little too hard."""
-        stuck = sum(now - each.began - each.call_ms > OUTLIER * max(each.work, each.grading.run.at(now))
+        stuck = sum(now - each.began - each.call_ms > STUCK * max(each.work, each.grading.run.at(now))
                     for state in ON_CORE for each in self._in[state].values())
-        self._turning = max(self._limit - stuck, 1e-3)
+        self._turning = max(self._limit - stuck, 0.0)
 
     def _size_limit(self) -> None:
         """The running limit grows while cores idle and work waits, and falls back to the cores."""
@@ -428,7 +413,7 @@
             self._limit -= 1
 
     def _answer_due(self, now: float) -> None:
-        """Rule 1, and what is given up: held work that cannot be in time, and runs worth nothing."""
+        """Rule 1, and held work that cannot be in time; what was answered is stopped where it can be."""
         full = self._on_cores() + len(self._in[State.HELD]) > self._limit
         for item in list(self._items.values()):
             if item.state is State.SPENT:
@@ -443,8 +428,7 @@
                         self._move(now, item, State.FORFEITED)
                     else:
                         self._turn_away(item, now)
-            elif last_call or (item.state in ON_CORE and self._halts and item.grading.replayable
-                               and now > self._judged(item)):
+            elif last_call:
                 self._move(now, item, State.FORFEITED)
 
     def _start_held(self, now: float) -> None:
--- /dev/null
+++ b/tests/test_bench.py
@@ -0,0 +1,76 @@
+"""The codec and the adapter, over text as the bench sends it."""
+
+import io
+import json
+
+import pytest
+
+from nickelslip.admission.control import Control
+from nickelslip.bench import codec
+from nickelslip.bench.adapter import main
+
+INFO = {
+    "bounds": {"max-retry-after-ms": 1000.0, "retry-after": True}, "unknown": 1,
+    "classes": [{"aim-ms": 500.0, "deadline-ms": 1000.0, "gain": 1.0, "idempotency": "non_idempotent", "name": "p"}],
+    "fees": {}, "invariants": {"answer-slack-ms": 60.0, "cold-from": 0.2, "cold-ms": 9000.0, "fall-ms": 1500.0,
+                               "fall-multiple": 8.0, "stop-sending-within-ms": 2500.0},
+    "specifics": {"cpus": 2, "memory-kb": 9000.0, "run-factor": 16.0, "say": "bias", "below": "common",
+                  "dep-share": 2.0, "calls-over-ms": 5000.0, "real-checks": True},
+    "tick-ms": 5.0,
+}
+START = f"START server/1 7 {json.dumps(INFO)}"
+
+
+def play(*lines):
+    sink, complaints = io.StringIO(), io.StringIO()
+    code = main(io.StringIO("".join(line + "\n" for line in lines)), sink, complaints)
+    return code, sink.getvalue().splitlines(), complaints.getvalue()
+
+
+def test_a_day_over_text():
+    code, out, _ = play(
+        "TICK 0", START, "OVER_TO_YOU", "TICK 5", "OVER_TO_YOU",
+        "TICK 10", "ASK server/1 12 p - - 1010 - 24.5 0.6 0 0 1 1.8 -", "OVER_TO_YOU",
+        "TICK 20", "STALLED_ON_CALL server/1 12", "OVER_TO_YOU", "TICK 30", "RETURNED server/1 12 10 0",
+        "FINISHED server/1 12 0 20", "WAKE server/1 1 cpu_busy:0.5,runnable:1", "OVER_TO_YOU",
+        "TICK 40", "DRAIN server/1 9000", "OVER_TO_YOU", "TICK 50", "SHUTDOWN server/1", "ASK server/2 1 p",
+        "OVER_TO_YOU",
+    )
+    assert code == 0
+    assert out[:4] == ["HEALTH server/1 1 1", "SCHEDULE server/1 100.000 1", "OK", "OK"]
+    assert "DISPATCH server/1 12" in out and any(line.startswith("INVOKE server/1 12 ") for line in out)
+    assert out[-4:] == ["STAMP server/1 0.000000", "HEALTH server/1 1 0", "OK", "OK"]
+
+
+@pytest.mark.parametrize("line", (
+    "START server/1 7 {}", "START server/1 7 nonsense", "ASK server/1 x p", "JUMP server/1", "FINISHED server/1 5",
+    "RETURNED server/1 5 1.0 77", "DRAIN server/1 soon",
+))
+def test_a_malformed_line_is_named_and_ends_the_adapter(line):
+    code, _, complaints = play("TICK 0", START, line, "OVER_TO_YOU")
+    assert code == 2 and line.split(" ")[0] in complaints + " START" and complaints.startswith("nickelslip: ")
+
+
+def test_input_outside_or_cut_inside_a_batch_is_an_error():
+    assert play("OVER_TO_YOU")[0] == 2 and play("TICK 1")[0] == 2 and play("TICK x", "OVER_TO_YOU")[0] == 2
+
+
+def test_an_exception_in_the_module_is_reported_for_its_instance(monkeypatch):
+    def broken(self, now, arrival):
+        raise RuntimeError("lost count")
+
+    monkeypatch.setattr(Control, "read", broken)
+    code, out, _ = play("TICK 0", START, "ASK server/1 1 p", "OVER_TO_YOU")
+    assert code == 0 and out[-2].startswith("BROKEN server/1 RuntimeError: lost count at test_bench.py:")
+
+
+def test_instances_act_alike_however_they_are_dealt_out():
+    ask = "ASK server/{} 4 p - - - - 24.5 0.6 0 0 1 900 -"
+    both = play("TICK 0", START, START.replace("/1", "/2"), ask.format(1), ask.format(2), "OVER_TO_YOU")[1]
+    alone = play("TICK 0", START.replace("/1", "/2"), ask.format(2), "OVER_TO_YOU")[1]
+    assert [line for line in both if "server/1" not in line] == alone
+
+
+def test_settings_keep_their_meaning():
+    told = codec.settings_from(json.dumps(INFO))
+    assert (told.call_share, told.grades[0].calls, told.advice_max_ms, told.customers) == (2.0, True, 1000.0, ())
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,229 @@
+"""Small cases, one for each failure found or rule that is easy to get wrong."""
+
+from nickelslip.admission.control import Ring
+from nickelslip.admission.interface import Outcome, Repeat, Said, State, Stopping
+from tests.helpers import BOOK, PAY, READ, World, customer, settings
+
+
+def states(result):
+    return [(change.id, change.state) for change in result.changes]
+
+
+def busy_world(**changes):
+    """Both cores taken by runs that take their guessed mean."""
+    world = World(settings(**changes))
+    world.read(1, READ)
+    world.read(2, READ)
+    return world
+
+
+def test_a_free_core_runs_what_is_read_and_a_full_server_holds_it():
+    world = busy_world()
+    assert world.at("core") == [1, 2]
+    assert states(world.read(3, READ)) == []
+    assert states(world.end(1)) == [(3, State.RUNNING)]
+
+
+def test_an_arrival_predicted_late_is_dismissed_at_once_and_cuts_the_weight_before_the_next():
+    world = busy_world()
+    ident = 3
+    while not world.read(ident, READ).changes:
+        ident += 1
+    ident += 1
+    assert states(world.last) == [(ident - 1, State.DISMISSED)] and world.last.changes[0].span_ms > 0
+    world.wait(100)
+    assert world.said[0] == 0.8
+    for held in world.at("core"):
+        world.end(held)
+    world.wait(400, busy=0.1)
+    assert world.said[-1] > 0.8
+
+
+def test_held_work_starts_by_credit_over_work_and_first_tries_first():
+    world = busy_world()
+    for ident, grade, again in ((3, READ, True), (4, READ, False), (5, PAY, False)):
+        world.read(ident, grade, again=again)
+    started = [states(world.end(ident))[0][0] for ident in (1, 2, 5)]
+    assert started == [5, 4, 3]
+
+
+def test_a_customer_beyond_its_share_yields_while_work_waits():
+    world = World(settings(customers=(customer("a", 1.0), customer("b", 50.0)), beyond_share_worth=0.1))
+    for ident in range(1, 21):
+        world.read(ident, READ, customer="a")
+        if world.known[ident].place == "core":
+            world.end(ident)
+    world.read(30, READ, customer="b")
+    world.read(31, READ, customer="b")
+    world.read(32, READ, customer="a")
+    world.read(33, READ, customer="b")
+    assert states(world.end(30)) == [(33, State.RUNNING)]
+
+
+def test_a_quiet_server_runs_what_only_a_rough_hint_calls_hopeless():
+    world = World()
+    assert states(world.read(1, READ, cost_hint_ms=5000.0)) == [(1, State.RUNNING)]
+
+
+def test_what_came_too_late_to_be_worth_anything_is_not_started_on_a_free_core():
+    assert states(World().read(1, READ, unread=990.0)) == [(1, State.DISMISSED)]
+
+
+def test_time_unread_cuts_the_weight_and_the_advice_covers_it():
+    world = World()
+    world.read(1, PAY, unread=450.0)
+    assert world.last.changes[0].span_ms > 300
+    world.wait(100)
+    assert world.said == [0.8]
+    world.wait(500, busy=1.0)  # nothing is read and the cores are busy: not calm
+    assert world.said == [0.8]
+
+
+def test_cores_that_hang_send_new_work_on():
+    world = busy_world(stopping=Stopping.NEVER)
+    world.wait(800)
+    assert states(world.read(3, READ)) == [(3, State.DISMISSED)]
+
+
+def test_a_standstill_leaves_the_weight_alone():
+    world = World()
+    world.read(1, PAY, unread=450.0)
+    world.now += 300  # the process stands still; the wake comes late
+    world.wait(5)
+    assert world.said == []
+
+
+def test_an_answer_due_is_given_while_its_run_goes_on_and_keeps_its_core():
+    world = busy_world()
+    world.read(3, PAY, wait=3000.0)
+    world.wait(2995)
+    assert world.known[1].answers == 1 and world.known[1].place == "core"
+    assert states(world.end(1)) == []
+
+
+def test_an_abandoned_run_is_stopped_where_it_can_be():
+    world = busy_world(stopping=Stopping.DROP)
+    assert states(world.gone(1)) == [(1, State.SPENT)]
+
+
+def test_a_run_that_has_had_its_effect_is_forfeited_never_dismissed():
+    world = World()
+    world.read(1, PAY, wait=400.0)
+    world.wait(400)
+    assert world.known[1].answers == 1  # the model fails on a dismissal
+
+
+def test_a_call_of_single_use_work_is_repeated_only_if_it_never_ran():
+    world = World()
+    world.read(1, PAY)
+    assert states(world.call(1)) == [(1, State.CALLING)]
+    world.back(1, Outcome.FULL)
+    world.wait(100)
+    assert world.at("out") == [1]
+    assert states(world.back(1, Outcome.RESET)) == [(1, State.FORFEITED)]
+
+
+def test_a_call_that_cannot_be_in_time_is_left_out_where_that_earns_credit():
+    world = World(settings(call_share=0.0001))
+    world.read(1, READ)
+    world.call(1)
+    world.wait(1000)
+    assert world.known[1].answers == 0 and world.at("core") == [1]
+
+
+def test_calls_given_up_count_until_they_have_left():
+    world = World(settings(call_share=1.3, cores=4))
+    for ident in (1, 2, 3):
+        world.read(ident, READ, wait=500.0)
+        world.call(ident)
+    assert len(world.at("out")) == 1
+    world.gone(world.at("out")[0])
+    assert world.at("out") == []
+    world.wait(250)
+    assert len(world.at("out")) == 1
+
+
+def test_slow_calls_leave_fewer_out_at_once():
+    world = World(settings(call_share=8.0, cores=8))
+    for ident in range(1, 9):  # quick calls show what is usual
+        world.read(ident, READ)
+        world.call(ident)
+        world.wait(20)
+        world.back(ident, Outcome.OK)
+        world.end(ident)
+    for ident in range(11, 19):
+        world.read(ident, READ)
+        world.call(ident)
+    before = len(world.at("out"))
+    world.wait(700)
+    for ident in world.at("out"):
+        world.back(ident, Outcome.OK)
+        world.end(ident)
+    for ident in range(21, 29):
+        world.read(ident, READ)
+        world.call(ident)
+    assert len(world.at("out")) < before
+
+
+def test_a_repeat_of_referenced_work_joins_its_forerunner_and_never_runs():
+    world = World()
+    world.read(1, BOOK)
+    assert states(world.read(2, BOOK, forerunner=1)) == [(2, State.JOINED)]
+    world.end(1)
+    assert states(world.read(3, BOOK, forerunner=1)) == [(3, State.JOINED)]
+
+
+def test_referenced_work_that_cannot_be_remembered_is_dismissed():
+    assert states(World(settings(entry_kb=5000.0)).read(1, BOOK)) == [(1, State.DISMISSED)]
+
+
+def test_memory_yields_held_work_of_least_credit():
+    world = busy_world(memory_kb=400.0)
+    world.read(3, READ, kb=100.0)
+    world.read(4, PAY, kb=50.0)
+    world.read(5, PAY, kb=180.0)
+    assert world.known[3].answers == 1 and world.known[4].answers == 0
+
+
+def test_a_drain_says_so_and_runs_nothing_that_came_past_the_grace():
+    world = World()
+    world.read(1, READ)
+    result = world.drain(3000.0)
+    assert result.said == 0.0 and result.health is not None and not result.health.good
+    world.wait(1005)
+    assert states(world.read(2, READ)) == [(2, State.DISMISSED)]
+    assert world.last.changes[0].span_ms == 1000.0
+    world.wait(1900)
+    assert world.known[1].answers == 1
+
+
+def test_the_weight_has_a_meaning_for_every_kind_of_caller():
+    said = {}
+    for meaning in Said:
+        world = World(settings(said=meaning, callers=4))
+        world.read(1, PAY, unread=450.0)
+        world.wait(100)
+        said[meaning] = world.said
+    assert said == {Said.NOTHING: [], Said.CHANCE: [0.8], Said.SLOTS: [0.8 * 2], Said.RANK: [1 - 0.8]}
+
+
+def test_news_of_transactions_already_ended_is_harmless():
+    world = World()
+    control = world.control
+    for late in (control.at_call, control.caller_gone):
+        assert states(late(1.0, 99)) == []
+    assert states(control.ended(1.0, 99, Outcome.MOOT, 0.0)) == []
+    assert states(control.call_returned(1.0, 99, Outcome.OK, 0.0)) == []
+
+
+def test_a_ring_forgets_bucket_by_bucket():
+    ring = Ring(100.0, 4)
+    ring.add(10.0, 5.0)
+    ring.add(60.0, 1.0)
+    assert ring.total(99.0) == (6.0, 2.0) and ring.total(110.0) == (1.0, 1.0) and ring.total(1000.0) == (0.0, 0.0)
+
+
+def test_grades_that_keep_most_credit_late_are_judged_by_their_abandon_time():
+    late = READ.__class__("late", 1.0, 100.0, 5000.0, Repeat.REPLAYABLE, late_share=0.8)
+    world = World(settings(grades=(late,)))
+    assert states(world.read(1, late, unread=500.0)) == [(1, State.RUNNING)]
