Calls that can be left out are when the line at the calls is long

Acts only where a call may be left out and the line would take over an eighth of the quoted time; harm: credit given away when the dependency recovers at that moment.

--- a/nickelslip/admission/control.py
+++ b/nickelslip/admission/control.py
@@ -35,6 +35,7 @@
 CROWD_PART = 0.7  # of the crowd that a server survives, all that can be on the cores at once
 MEMORY_PART = 0.97
 CALL_PART = 0.85  # of the calls that are this server's part, in the mean
+CALL_WAIT = 1 / 8  # a wait at the call, of the quoted time, over which a call that can be left out is
 CALLS_SLOW = 3.0  # calls that take so many times the best mean yet show a crowded dependency
 AGAIN_WORTH = 0.5  # a further try's age is not told: its quoted time may be over already
 SIGMAS = 2.0  # a customer is beyond its share when its count is so many deviations above it
@@ -450,11 +451,12 @@
         if not self._in[State.AT_CALL]:
             return
         self._count_calls(now)
-        one = self._call_time.at(now)
+        one, ahead = self._call_time.at(now), 0
         for item in sorted(self._in[State.AT_CALL].values(), key=lambda each: each.sort):
             end = self._judged(item) if item.grading.replayable else self._owed(item)
             left = end - self._margin - now - item.work / 2
-            if left < one and item.grading.omittable:
+            wait = ahead * one / max(1.0, self._call_limit)
+            if item.grading.omittable and (left < one or wait > CALL_WAIT * item.grading.quoted):
                 self._move(now, item, State.OMITTED)
             elif left <= 0 and item.grading.replayable:
                 self._move(now, item, State.FORFEITED)
@@ -465,6 +467,7 @@
                 if fits and span >= one and self._on_cores() + out < CROWD_PART * self._crowd(now):
                     self._move(now, item, State.CALLING, span)
                     item.limit, item.call_ms, item.since = now + span, item.call_ms + now - item.since, now
+                ahead += item.state is State.AT_CALL
 
     def _call_room(self, now: float) -> float:
         """Rule 4: the longest call that keeps this server's part in the mean of any coming span."""
