--- a/nickelslip/admission/control.py
+++ b/nickelslip/admission/control.py
@@ -23,6 +23,7 @@
 WINDOW_MS = 100.0  # the weight is judged once a window
 WEIGHT_CUT, WEIGHT_GAIN = 0.8, 0.1  # a window with early dismissals, and a calm one
 LATE_KEEPS = 0.5  # grades that keep less of their credit than this after the quoted time are judged by it
+ADVICE = 0.25  # of the time it would take to clear what waits: callers are few, and each stays away whole
 LAST_UNDER = 0.6  # under this weight a dismissal says that another server would not help
 UNREAD_CUT, UNREAD_KEEP = 1 / 6, 1 / 12  # lying unread for such a part of the quoted time is congestion too
 GUESS = 1 / 6  # an unlearned mean run time, as a part of the quoted time
@@ -357,7 +358,7 @@
     def _turn_away(self, item: Item, now: float, last: bool = False) -> None:
         self._early += 1
         held = sum(each.work for each in self._in[State.HELD].values())
-        spread = self._random.uniform(0.75, 1.25)  # so that not all come back at once
+        spread = ADVICE * self._random.uniform(0.75, 1.25)  # so that not all come back at once
         advice = (self._unread_ms + held / self._limit) * spread
         if now >= self._drain_at:
             advice = self._advice_max  # this server will not be back for this caller
