--- a/nickelslip/admission/control.py
+++ b/nickelslip/admission/control.py
@@ -31,6 +31,7 @@
 SPAN = 2.0  # what is learned looks back over so many of the longest quoted time
 TRUST = 2.0  # runs' worth of long memory mixed into the recent mean
 SPREAD = 2.0  # a prediction at the door allows for work that will come ahead and for runs over the mean
+LEAVE_AFTER = 0.5  # part of the drain's grace in which the weight stays: its cores are still worth having
 STUCK = 4.0  # a run over so many means frees no slot soon
 BUSY = 0.9  # under this share of busy cores they count as idle
 CROWD_PART = 0.7  # of the crowd that a server survives, all that can be on the cores at once
@@ -502,7 +503,8 @@
 
     def _speak(self, now: float) -> None:
         """Outward words that changed: the weight in the callers' meaning, and the next wake."""
-        weight = 0.0 if now >= self._drain_at else self._weight
+        leaving = now >= self._drain_at + self._grace * LEAVE_AFTER
+        weight = 0.0 if leaving else self._weight
         if weight != self._said and self._said_as is not Said.NOTHING:
             self._result.said = {Said.CHANCE: weight, Said.SLOTS: weight * self._slots_each,
                                  Said.RANK: 1 - weight}[self._said_as]
