A further try ranks at the part of first tries among what is read

Guards against every storm of retries, whoever sends them; harm: on a server that is handed only what others dismissed, further tries rank low among themselves, which changes nothing.

--- a/nickelslip/admission/control.py
+++ b/nickelslip/admission/control.py
@@ -39,7 +39,7 @@
 CALL_PART = 0.85  # of the calls that are this server's part, in the mean
 CALL_WAIT = 1 / 8  # a wait at the call, of the quoted time, over which a call that can be left out is
 CALLS_SLOW = 3.0  # calls that take so many times the best mean yet show a crowded dependency
-AGAIN_WORTH = 0.5  # a further try's age is not told: its quoted time may be over already
+AGAIN_LEAST = 0.1  # a further try's age is not told: the more of them, the likelier its quoted time is over
 SIGMAS = 2.0  # a customer is beyond its share when its count is so many deviations above it
 
 
@@ -156,7 +156,7 @@
         part = 1 / settings.servers
         self._shares = {each.name: each.share_per_s * part * span / 1000 for each in settings.customers}
         self._sent = {each.name: Ring(span) for each in settings.customers}
-        self._beyond = settings.beyond_share_worth
+        self._beyond, self._again = settings.beyond_share_worth, Ring(span)
         self._slots_each = settings.cores * settings.crowd_multiple / settings.callers
         self._checks_work = settings.checks_work
         told = settings.call_share > 0 and settings.call_span_ms > 0
@@ -328,8 +328,10 @@
             count = ring.total(now)[1]
             inside = min(1.0, (share + SIGMAS * sqrt(share)) / max(count, 1e-9))
             worth = inside + self._beyond * (1 - inside)
+        self._again.add(now, float(arrival.again))
         if arrival.again and self._marks_again:
-            worth *= AGAIN_WORTH
+            tries, count = self._again.total(now)
+            worth *= max(AGAIN_LEAST, 1 - tries / count)
         density = item.grading.credit * worth / (1.0 if self._by_work else max(item.work, 1e-9))
         item.sort = (-density, item.worth_until, item.id)
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -46,6 +46,14 @@
     assert [states(world.end(ident))[0][0] for ident in (1, 2, 5)] == [5, 4, 3]
 
 
+def test_in_a_storm_of_further_tries_first_ones_of_lower_credit_start_first():
+    world = busy_world(call_share=0.0)
+    for ident in range(3, 20):
+        world.read(ident, PAY, again=True)
+    world.read(20, READ, wait=3000.0)
+    assert states(world.end(1))[-1] == (20, State.RUNNING)
+
+
 def test_a_customer_beyond_its_share_yields_while_work_waits():
     world = World(settings(customers=(Customer("a", 1.0), Customer("b", 50.0)), beyond_share_worth=0.1))
     for ident in range(1, 21):
