--- a/nickelslip/admission/control.py
+++ b/nickelslip/admission/control.py
@@ -32,6 +32,7 @@
 TRUST = 2.0  # runs' worth of long memory mixed into the recent mean
 SPREAD = 2.0  # a prediction at the door allows for work that will come ahead and for runs over the mean
 LEAVE_AFTER = 0.5  # part of the drain's grace in which the weight stays: its cores are still worth having
+IDLE_PART = 0.25  # of the callers' own time for idle connections
 STUCK = 4.0  # a run over so many means frees no slot soon
 BUSY = 0.9  # under this share of busy cores they count as idle
 CROWD_PART = 0.7  # of the crowd that a server survives, all that can be on the cores at once
@@ -159,6 +160,7 @@
         self._beyond, self._again = settings.beyond_share_worth, Ring(span)
         self._slots_each = settings.cores * settings.crowd_multiple / settings.callers
         self._checks_work = settings.checks_work
+        self._idle = settings.idle_ms * IDLE_PART if settings.connections_charged else 0.0
         told = settings.call_share > 0 and settings.call_span_ms > 0
         self._call_share = settings.call_share * CALL_PART if told else self._cores + self._crowd_more
         self._call_span = settings.call_span_ms if told else span
@@ -185,6 +187,7 @@
         """The process has come up: its first outward words."""
         if self._checks_work:  # answered from store, checks cost next to nothing
             self._result.health = Health(good=True, stored=True)
+        self._result.idle_ms = self._idle or None  # idle ones go early where they are charged
         return self._decide(now)
 
     def read(self, now: float, arrival: Arrival) -> Result:
--- a/nickelslip/admission/interface.py
+++ b/nickelslip/admission/interface.py
@@ -105,8 +105,7 @@
     cold: bool
     cold_from: float  # share of its speed that a cold server starts at
     cold_ms: float
-    crowd_multiple: float  # running transactions a core that a warm server survives ...
-    crowd_ms: float  # ... in the mean of this span
+    crowd_multiple: float  # running transactions a core that a warm server survives
     answer_slack_ms: float
     drain_grace_ms: float
     tick_ms: float
@@ -118,7 +117,6 @@
     marks_again: bool = False
     stopping: Stopping = Stopping.NEVER
     said: Said = Said.NOTHING
-    said_for_ms: float = 0.0
     advice_max_ms: float = 0.0  # longest advice that is passed on; 0: none is
     call_share: float = 0.0  # mean number of calls out that is this server's part; 0: no bound told
     call_span_ms: float = 0.0
@@ -126,9 +124,8 @@
     entry_kb: float = 0.0
     fresh_ms: float = 0.0  # how long the answer to a read may serve others
     idle_ms: float = 0.0  # callers close unused connections after this
-    connections_cost: bool = False  # an open or a new connection is charged for
+    connections_charged: bool = False  # open connections are charged for
     checks_work: bool = False  # a check works like a small transaction unless answered from store
-    listed_by_health: bool = False
 
 
 @dataclass(frozen=True)
--- a/nickelslip/bench/codec.py
+++ b/nickelslip/bench/codec.py
@@ -53,7 +53,7 @@
             grades=grades, cores=int(facts["cpus"]), memory_kb=float(facts["memory-kb"]),
             run_factor=float(facts["run-factor"]), cold=bool(facts.get("cold", False)),
             cold_from=float(rules["cold-from"]), cold_ms=float(rules["cold-ms"]),
-            crowd_multiple=float(rules["fall-multiple"]), crowd_ms=float(rules["fall-ms"]),
+            crowd_multiple=float(rules["fall-multiple"]),
             answer_slack_ms=float(rules["answer-slack-ms"]),
             drain_grace_ms=float(rules["stop-sending-within-ms"]), tick_ms=float(info["tick-ms"]),
             servers=max(1, int(info.get("servers") or 1)), callers=max(1, int(facts.get("callers") or 1)),
@@ -64,14 +64,13 @@
             counted_by_work=info.get("counted-by") == "work",
             marks_again=bool((info.get("client-habits") or {}).get("marks-retry", False)),
             stopping=STOPPINGS[facts.get("stop-mode", "silent")], said=SAID[facts.get("say", "silent")],
-            said_for_ms=float(facts.get("said-for-ms") or 0.0),
             advice_max_ms=float(bounds.get("max-retry-after-ms") or 0.0) if bounds.get("retry-after") else 0.0,
             call_share=float(facts.get("dep-share") or 0.0) if below == "common" else 0.0,
             call_span_ms=float(facts.get("calls-over-ms") or 0.0),
             call_linger_ms=float(facts.get("stays-for-ms") or 0.0), entry_kb=float(facts.get("kb-per-key") or 0.0),
             fresh_ms=float(facts.get("fresh-ms") or 0.0), idle_ms=float(facts.get("idle-ms") or 0.0),
-            connections_cost=bool(fees.get("connection") or fees.get("handshake")),
-            checks_work=bool(facts.get("real-checks", False)), listed_by_health=bool(facts.get("readiness", False)),
+            connections_charged=bool(fees.get("connection")),
+            checks_work=bool(facts.get("real-checks", False)),
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise Malformed(f"settings lack what is needed: {type(error).__name__}: {error}") from error
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -17,7 +17,7 @@
 def settings(**changes: object) -> Settings:
     base: dict[str, object] = dict(
         grades=(READ, PAY, BOOK), cores=2, memory_kb=2000.0, run_factor=4.0, cold=False, cold_from=0.3, cold_ms=8000.0,
-        crowd_multiple=4.0, crowd_ms=1500.0, answer_slack_ms=60.0, drain_grace_ms=1000.0, tick_ms=5.0, said=Said.CHANCE,
+        crowd_multiple=4.0, answer_slack_ms=60.0, drain_grace_ms=1000.0, tick_ms=5.0, said=Said.CHANCE,
         advice_max_ms=999.0, call_share=2.0, call_span_ms=2000.0, call_linger_ms=200.0, entry_kb=20., marks_again=True,
     )
     return Settings(**{**base, **changes})  # type: ignore[arg-type]
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -210,6 +210,7 @@
         world.read(1, PAY, unread=450.0)
         world.wait(100)
         said[meaning] = world.said
+    assert World(settings(connections_charged=True, idle_ms=8000.0)).last.idle_ms == 2000.0
     assert said == {Said.NOTHING: [], Said.CHANCE: [0.8], Said.SLOTS: [0.8 * 2], Said.RANK: [1 - 0.8]}
 
 
