--- a/nickelslip/admission/control.py
+++ b/nickelslip/admission/control.py
@@ -131,6 +131,7 @@
 
 
 FINAL = (State.SATISFIED, State.DISMISSED, State.FORFEITED, State.ABANDONED)
+ENDS = {Outcome.OK: State.SATISFIED, Outcome.ERROR: State.FORFEITED}
 ON_CORE = (State.RUNNING, State.OMITTED, State.SPENT)
 UNRUN = (State.HELD, State.JOINED)  # an end frees these at once; all others wait for word from the cores
 
@@ -222,9 +223,7 @@
             else:
                 if outcome is Outcome.OK and item.ran and item.state is not State.OMITTED:
                     self._learn(item, now, max(0.0, took_ms - item.call_ms))
-                if item.state is State.CALLING:
-                    self._move(now, item, State.SATISFIED, told=False)
-                del self._in[item.state][ident], self._items[ident]
+                self._move(now, item, ENDS.get(outcome, State.ABANDONED), told=False, over=True)
         return self._decide(now)
 
     def at_call(self, now: float, ident: int) -> Result:
@@ -232,7 +231,7 @@
         item = self._items.get(ident)
         if item is not None and item.state in (State.RUNNING, State.SPENT, State.OMITTED):
             if item.state is State.SPENT:  # answered or abandoned: nothing is called for it
-                del self._in[State.SPENT][ident], self._items[ident]
+                self._move(now, item, State.ABANDONED, told=False, over=True)
             else:
                 self._move(now, item, State.AT_CALL, told=False)
                 item.since, item.limit = now, -inf
@@ -298,8 +297,9 @@
         return result
 
     def _move(self, now: float, item: Item, state: State, span_ms: float = 0.0, last: bool = False,
-              told: bool = True) -> None:
-        """The one place where a transaction changes its state; told: the server has to act on it."""
+              told: bool = True, over: bool = False) -> None:
+        """The one place where a transaction changes its state. told: the server has to act on it; over: its
+        run has ended, so that nothing of it is left on a core."""
         before = item.state
         if told:
             self._result.changes.append(Change(item.id, state, span_ms, last))
@@ -312,7 +312,7 @@
             del self._entries[item.id]
             self._result.table.append(Remembrance(item.id, 0.0))
         if state in FINAL:
-            if before in UNRUN or before is State.PAUSED:
+            if over or before in UNRUN or before is State.PAUSED:
                 del self._items[item.id]
                 return
             state = State.SPENT  # rule 4: it stays on its core, or at its call, until its end is told
