Calls are paced below one a server while they are slow

Guards against any crowding of a shared dependency by many; harm: where calls vary widely by themselves fewer are out than there is room for.

--- a/nickelslip/admission/control.py
+++ b/nickelslip/admission/control.py
@@ -39,7 +39,9 @@
 MEMORY_PART = 0.97
 CALL_PART = 0.85  # of the calls that are this server's part, in the mean
 CALL_WAIT = 1 / 8  # a wait at the call, of the quoted time, over which a call that can be left out is
-CALLS_SLOW = 3.0  # calls that take so many times the best mean yet show a crowded dependency
+CALLS_SLOW = 3.0  # a call that took so many times the best mean yet shows a crowded dependency
+CALLS_KNOWN = 16  # so many recent calls make a mean that can be the best
+CALL_LEAST = 1 / 5  # of this server's part of the calls: what the dependency is worked with while crowded
 AGAIN_LEAST = 0.1  # a further try's age is not told: the more of them, the likelier its quoted time is over
 SIGMAS = 2.0  # a customer is beyond its share when its count is so many deviations above it
 
@@ -169,7 +171,7 @@
         self._call_ring, self._call_mark = Ring(self._call_span * 17 / 16), now
         self._lingering: list[float] = []  # when each call given up leaves
         self._call_time = Mean(min(grade.quoted_ms for grade in settings.grades) * CALL_GUESS, span)
-        self._call_lately, self._call_best = Ring(10 * WINDOW_MS), inf
+        self._call_best, self._call_rest = inf, now
         self._call_limit = self._call_share
         self._items: dict[int, Item] = {}
         self._in: dict[State, dict[int, Item]] = {state: {} for state in State}
@@ -246,7 +248,7 @@
                 self._lingering.append(now + self._linger)
             if not outcome.proves_never_ran:
                 self._call_time.learn(now, took_ms)
-                self._call_lately.add(now, took_ms)
+                self._size_calls(now, took_ms)
             item.call_ms, item.since = item.call_ms + now - item.since, now
             if outcome is Outcome.OK:
                 self._move(now, item, State.RUNNING, told=False)
@@ -384,25 +386,23 @@
                 self._weight *= WEIGHT_CUT
             elif self._unread <= UNREAD_KEEP and (self._reads or self._busy < BUSY):
                 self._weight = min(1.0, self._weight + WEIGHT_GAIN)
-        self._size_calls(now)
         self._count_turning(now)
         self._early, self._reads, self._unread, self._stood_still = 0, 0, 0.0, False
         self._window_end = now + WINDOW_MS
         self._entries = {ident: until for ident, until in self._entries.items() if until > now}
 
-    def _size_calls(self, now: float) -> None:
-        """How many calls may be out: fewer while they are slow, since what is crowded answers less in all. It
-        covers whatever slows the calls; a slow answer in a quiet second may cut it for no reason."""
-        total, count = self._call_lately.total(now)
-        out = [now - each.since for each in self._in[State.CALLING].values()]
-        mean = (total + sum(out)) / (count + len(out)) if count + len(out) else 0.0
-        if mean > CALLS_SLOW * self._call_best:
-            self._call_limit = max(1.0, self._call_limit * WEIGHT_CUT)
+    def _size_calls(self, now: float, took_ms: float) -> None:
+        """How many calls may be out, judged by each that ends: what is crowded answers less in all. Under one,
+        calls go out one by one with a rest between. It covers whatever slows the calls; where calls vary
+        widely by themselves it keeps fewer out than there is room for."""
+        if took_ms > CALLS_SLOW * self._call_best:
+            self._call_limit = max(CALL_LEAST * self._call_share, self._call_limit * WEIGHT_CUT)
         else:
-            self._call_limit = min(self._call_share, self._call_limit + WEIGHT_GAIN)
+            self._call_limit = min(self._call_share, self._call_limit * (1 + WEIGHT_GAIN))
         total, count = self._call_time.recent(now)
-        if count >= self._cores:
+        if count >= CALLS_KNOWN:
             self._call_best = min(self._call_best, total / count)
+        self._call_rest = now + took_ms * max(0.0, 1 / self._call_limit - 1)
 
     def _count_turning(self, now: float) -> None:
         """The slots that turn over: a run far past its mean frees none soon. It covers cores that hang, a
@@ -462,12 +462,12 @@
         for item in sorted(self._in[State.AT_CALL].values(), key=lambda each: each.sort):
             end = self._judged(item) if item.grading.replayable else self._owed(item)
             left = end - self._margin - now - item.work / 2
-            wait = ahead * one / max(1.0, self._call_limit)
+            wait = ahead * one / self._call_limit + max(0.0, self._call_rest - now)
             if item.grading.omittable and (left < one or wait > CALL_WAIT * item.grading.quoted):
                 self._move(now, item, State.OMITTED)
             elif left <= 0 and item.grading.replayable:
                 self._move(now, item, State.FORFEITED)
-            elif item.limit <= now:
+            elif item.limit <= now and self._call_rest <= now:
                 span = min(max(left, one), self._call_room(now))
                 out = len(self._in[State.CALLING])
                 fits = out + len(self._lingering) + 1 <= max(1.0, self._call_limit)
@@ -516,7 +516,8 @@
         self._said = weight
         owed = min((self._owed(item) for item in self._items.values()
                     if item.state is not State.SPENT), default=inf)
-        wake = max(now + self._margin / 2, min(self._window_end, owed - self._margin))
+        rest = self._call_rest if self._in[State.AT_CALL] and self._call_rest > now else inf
+        wake = max(now + self._margin / 2, min(self._window_end, owed - self._margin, rest))
         if wake < self._wake_at:
             self._wake_at = wake
             self._result.wake_in_ms = wake - now
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -149,28 +149,46 @@
     assert len(world.at("out")) == 1
 
 
-def test_slow_calls_leave_fewer_out_at_once():
-    world = World(settings(call_share=8.0, cores=8))
-    for ident in range(1, 9):  # quick calls show what is usual
+def calls_in_turn(world, idents, took):
+    """Each is read, calls alone, and ends; how long each waited for its leave."""
+    waited = []
+    for ident in idents:
         world.read(ident, READ)
+        begin = world.now
         world.call(ident)
-        world.wait(20)
-        world.back(ident, Outcome.OK)
+        while ident not in world.at("out") and world.known[ident].place == "call":
+            world.wait(5)
+        waited.append(world.now - begin)
+        if ident in world.at("out"):
+            world.wait(took)
+            world.back(ident, Outcome.OK)
         world.end(ident)
-    for ident in range(11, 19):
+    return waited
+
+
+def test_slow_calls_leave_fewer_out_at_once():
+    world = World(settings(call_share=8.0, cores=8))
+    calls_in_turn(world, range(1, 21), 20)  # quick calls show what is usual
+    for ident in range(31, 39):
         world.read(ident, READ)
         world.call(ident)
     before = len(world.at("out"))
-    world.wait(700)
+    world.wait(200)
     for ident in world.at("out"):
         world.back(ident, Outcome.OK)
         world.end(ident)
-    for ident in range(21, 29):
+    for ident in range(41, 49):
         world.read(ident, READ)
         world.call(ident)
     assert len(world.at("out")) < before
 
 
+def test_a_part_under_one_call_rests_between_slow_calls():
+    world = World(settings(call_share=0.6))
+    calls_in_turn(world, range(1, 21), 20)
+    assert max(calls_in_turn(world, range(31, 41), 80)[1:]) >= 100
+
+
 def test_a_repeat_of_referenced_work_joins_its_forerunner_and_never_runs():
     world = World()
     world.read(1, BOOK)
