What was learned under pressure no longer keeps a server dismissing

Means learned in the first storm were over the quoted time; nothing was started, so nothing better was learned. Told from a lack of cores by the gauge (0.4 busy) and from a low weight by what was read. Guards against any stale figure that forbids its own correction; harm: a server that stays slow spoils two transactions of each grade in every span it looks back over.

--- a/nickelslip/admission/control.py
+++ b/nickelslip/admission/control.py
@@ -84,7 +84,7 @@
     """A learned mean: recent figures, leaning on the long memory while they are few."""
 
     def __init__(self, guess: float, span_ms: float) -> None:
-        self._recent, self._long, self._seen = Ring(span_ms), guess, 0
+        self._recent, self._guess, self._long, self._seen = Ring(span_ms), guess, guess, 0
 
     def learn(self, now: float, figure: float) -> None:
         self._seen += 1
@@ -94,6 +94,11 @@
     def recent(self, now: float) -> tuple[float, float]:
         return self._recent.total(now)
 
+    def lately(self, now: float) -> float:
+        """By recent figures alone, or the first guess while they are too few to tell."""
+        total, count = self._recent.total(now)
+        return total / count if count >= TRUST else self._guess
+
     def at(self, now: float) -> float:
         total, count = self._recent.total(now)
         return (total + TRUST * self._long) / (count + TRUST)
@@ -358,10 +363,12 @@
         return now + SPREAD * (wait + self._whole(item, now)) > self._judged(item)
 
     def _hopeless(self, item: Item, now: float, full: bool) -> bool:
-        """Not in time even if it started now. With a core free a hint's word is not enough, only the grade's
-        mean: a server that turned slow sends on what it would only spoil."""
-        own = item.work if full else min(item.work, item.grading.run.at(now))
-        return now + own + item.grading.at_calls.at(now) > self._judged(item)
+        """Not in time even if it started now. With a core free only recent runs of its grade can tell: a server
+        that turned slow sends on what it would only spoil, yet tries again once it has run none for a while, as
+        what it learned under pressure would otherwise keep it from ever learning better."""
+        own = item.work if full else min(item.work, item.grading.run.lately(now))
+        calls = item.grading.at_calls
+        return now + own + (calls.at(now) if full else calls.lately(now)) > self._judged(item)
 
     def _turn_away(self, item: Item, now: float, last: bool = False) -> None:
         self._early += 1
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -71,6 +71,16 @@
     assert states(world.read(1, READ, cost_hint_ms=5000.0)) == [(1, State.RUNNING)]
 
 
+def test_what_was_learned_under_pressure_does_not_keep_an_idle_server_dismissing():
+    world = World(settings(call_share=0.0))
+    for ident in range(1, 9):
+        world.read(ident, READ)
+        world.end(ident, took=1500.0)  # longer than the quoted time
+    assert states(world.read(10, READ)) == [(10, State.DISMISSED)]
+    world.wait(2100)  # nothing ran for as long as what is learned looks back
+    assert states(world.read(11, READ)) == [(11, State.RUNNING)]
+
+
 def test_what_came_too_late_to_be_worth_anything_is_not_started_on_a_free_core():
     assert states(World().read(1, READ, unread=990.0)) == [(1, State.DISMISSED)]
 
