A customer's share is counted by starts; beyond it nothing is held; standstill guard out

Guards against any customer that floods, by retries too; harm: by chance a customer near its share loses a held place.

--- a/nickelslip/admission/control.py
+++ b/nickelslip/admission/control.py
@@ -43,7 +43,8 @@
 CALLS_KNOWN = 16  # so many recent calls make a mean that can be the best
 CALL_LEAST = 1 / 5  # of this server's part of the calls: what the dependency is worked with while crowded
 AGAIN_LEAST = 0.1  # a further try's age is not told: the more of them, the likelier its quoted time is over
-SIGMAS = 2.0  # a customer is beyond its share when its count is so many deviations above it
+SIGMAS = 1.0  # a customer is beyond its share when its starts are so many deviations above it
+SHARE_SPANS = 4.0  # over so many spans, since a small server starts few of each customer in one
 
 
 class Ring:
@@ -124,7 +125,7 @@
     """A transaction in this server's hands."""
 
     __slots__ = ("id", "grading", "kb", "due", "worth_until", "work", "state", "ran", "call_ms", "since",
-                 "limit", "hint", "asked", "sort", "began")
+                 "limit", "hint", "asked", "sort", "began", "customer", "inside")
 
     def __init__(self, arrival: Arrival, grading: Grading, now: float) -> None:
         self.id, self.grading, self.kb, self.hint = arrival.id, grading, arrival.kb, arrival.cost_hint_ms
@@ -135,6 +136,7 @@
         self.state, self.ran, self.asked = State.HELD, False, -inf
         self.call_ms, self.since, self.limit = 0.0, now, inf  # time at calls; when this one began, and ends
         self.sort, self.began = (0.0, 0.0, 0), now
+        self.customer, self.inside = arrival.customer or "", 1.0  # part inside the share
 
 
 FINAL = (State.SATISFIED, State.DISMISSED, State.FORFEITED, State.ABANDONED)
@@ -162,9 +164,9 @@
         self._margin = 2 * settings.tick_ms  # an answer that falls due goes out so much before
         self._last_words = 4 * settings.answer_slack_ms  # and so much before the kill: a standstill may come
         self._grace = settings.drain_grace_ms - settings.tick_ms
-        part = 1 / settings.servers
-        self._shares = {each.name: each.share_per_s * part * span / 1000 for each in settings.customers}
-        self._sent = {each.name: Ring(span) for each in settings.customers}
+        shares = SHARE_SPANS * span / 1000 / settings.servers
+        self._shares = {each.name: each.share_per_s * shares for each in settings.customers}
+        self._started = {each.name: Ring(SHARE_SPANS * span) for each in settings.customers}
         self._beyond, self._again = settings.beyond_share_worth, Ring(span)
         self._slots_each = settings.cores * settings.crowd_multiple / settings.callers
         self._checks_work = settings.checks_work
@@ -182,7 +184,7 @@
         self._in: dict[State, dict[int, Item]] = {state: {} for state in State}
         self._entries: dict[int, float] = {}  # remembered transactions, and when each is forgotten
         self._limit = self._turning = float(settings.cores)
-        self._weight, self._early, self._unread, self._stood_still = 1.0, 0, 0.0, False
+        self._weight, self._early, self._unread = 1.0, 0, 0.0
         self._reads, self._busy, self._unread_ms = 0, 0.0, 0.0
         self._window_end, self._wake_at = now + WINDOW_MS, inf
         self._drain_at = self._kill = inf
@@ -217,7 +219,9 @@
             if self._fresh > 0 and arrival.marked and grading.replayable:
                 self._remember(item, now, item.due - now + self._fresh)
             waits = len(self._in[State.HELD]) > 1 or self._on_cores() >= self._limit
-            if self._too_late(item, now) if waits else self._hopeless(item, now, full=False):
+            if waits and item.inside < 1:  # the whole fleet counts its share: it would help nowhere
+                self._turn_away(item, now, True)
+            elif self._too_late(item, now) if waits else self._hopeless(item, now, full=False):
                 self._turn_away(item, now, arrival.again or self._weight < LAST_UNDER)
         return self._decide(now)
 
@@ -280,8 +284,6 @@
 
     def timer(self, now: float, gauges: Gauges) -> Result:
         """A wake that was asked for, with the gauges of the moment."""
-        if now - self._wake_at > WINDOW_MS / 2:
-            self._stood_still = True  # events came late and together: what they measured is the standstill
         if now >= self._wake_at:
             self._wake_at = inf
         if now >= self._window_end and gauges.busy is not None:
@@ -325,19 +327,20 @@
             state = State.SPENT  # rule 4: it stays on its core, or at its call, until its end is told
         if before is State.HELD:
             item.ran, item.began = item.ran or state is State.RUNNING, now
+            if state is State.RUNNING and item.customer in self._started:
+                self._started[item.customer].add(now, 1.0)
         item.state = state
         self._in[state][item.id] = item
 
     def _rank(self, item: Item, arrival: Arrival, now: float) -> None:
-        """Credit over expected work; a customer's is the mean over what is inside and beyond its share."""
-        worth = 1.0
-        if arrival.customer in self._sent:
-            ring, share = self._sent[arrival.customer], self._shares[arrival.customer]
-            if not (arrival.again and self._marks_again):
-                ring.add(now, 1.0)
-            count = ring.total(now)[1]
-            inside = min(1.0, (share + SIGMAS * sqrt(share)) / max(count, 1e-9))
-            worth = inside + self._beyond * (1 - inside)
+        """Credit over expected work, less for a customer that has started its share here, or its part of what was
+        started where that is more: a quick server does more than an even part of everyone's."""
+        if arrival.customer in self._started:
+            part = self._shares[arrival.customer]
+            counts = {name: ring.total(now)[1] for name, ring in self._started.items()}
+            part *= max(1.0, sum(counts.values()) / max(sum(self._shares.values()), 1e-9))
+            item.inside = min(1.0, (part + SIGMAS * sqrt(part)) / max(counts[arrival.customer], 1e-9))
+        worth = item.inside + self._beyond * (1 - item.inside)
         self._again.add(now, float(arrival.again))
         if arrival.again and self._marks_again:
             tries, count = self._again.total(now)
@@ -367,8 +370,8 @@
         that turned slow sends on what it would only spoil, yet tries again once it has run none for a while, as
         what it learned under pressure would otherwise keep it from ever learning better."""
         own = item.work if full else min(item.work, item.grading.run.lately(now))
-        calls = item.grading.at_calls
-        return now + own + (calls.at(now) if full else calls.lately(now)) > self._judged(item)
+        calls = item.grading.at_calls.at(now) if full else item.grading.at_calls.lately(now)
+        return now + own + calls > self._judged(item)
 
     def _turn_away(self, item: Item, now: float, last: bool = False) -> None:
         self._early += 1
@@ -388,13 +391,12 @@
             grading.at_calls.learn(now, item.call_ms)
 
     def _close_window(self, now: float) -> None:
-        if not self._stood_still:  # a standstill says nothing about the load
-            if self._early or self._unread > UNREAD_CUT:
-                self._weight *= WEIGHT_CUT
-            elif self._unread <= UNREAD_KEEP and (self._reads or self._busy < BUSY):
-                self._weight = min(1.0, self._weight + WEIGHT_GAIN)
+        if self._early or self._unread > UNREAD_CUT:
+            self._weight *= WEIGHT_CUT
+        elif self._unread <= UNREAD_KEEP and (self._reads or self._busy < BUSY):
+            self._weight = min(1.0, self._weight + WEIGHT_GAIN)
         self._count_turning(now)
-        self._early, self._reads, self._unread, self._stood_still = 0, 0, 0.0, False
+        self._early, self._reads, self._unread = 0, 0, 0.0
         self._window_end = now + WINDOW_MS
         self._entries = {ident: until for ident, until in self._entries.items() if until > now}
 
