--- a/nickelslip/admission/control.py
+++ b/nickelslip/admission/control.py
@@ -422,7 +422,7 @@
 
     def _size_limit(self) -> None:
         """The running limit grows while cores idle and work waits, and falls back to the cores."""
-        if self._unread > UNREAD_CUT:
+        if self._unread > UNREAD_KEEP:
             self._limit = max(self._cores / 2, self._limit - 1)
         elif self._limit < self._cores or (self._busy < BUSY and self._in[State.HELD]):
             self._limit += 1
