--- a/nickelslip/admission/control.py
+++ b/nickelslip/admission/control.py
@@ -32,7 +32,7 @@
 TRUST = 2.0  # runs' worth of long memory mixed into the recent mean
 SPREAD = 1.5  # a prediction at the door allows for work that will come ahead and for runs over the mean
 LEAVE_AFTER = 0.5  # part of the drain's grace in which the weight stays: its cores are still worth having
-IDLE_PART = 0.25  # of the callers' own time for idle connections
+IDLE_LEAST = 0.25  # of the callers' own time for idle connections
 STUCK = 4.0  # a run over so many means frees no slot soon
 BUSY = 0.9  # under this share of busy cores they count as idle
 CROWD_PART = 0.7  # of the crowd that a server survives, all that can be on the cores at once
@@ -167,10 +167,9 @@
         shares = SHARE_SPANS * span / 1000 / settings.servers
         self._shares = {each.name: each.share_per_s * shares for each in settings.customers}
         self._started = {each.name: Ring(SHARE_SPANS * span) for each in settings.customers}
-        self._beyond, self._again = settings.beyond_share_worth, Ring(span)
+        self._beyond, self._again, self._further = settings.beyond_share_worth, Ring(span), 0.0
         self._slots_each = settings.cores * settings.crowd_multiple / settings.callers
-        self._checks_work = settings.checks_work
-        self._idle = settings.idle_ms * IDLE_PART if settings.connections_charged else 0.0
+        self._checks_work, self._idle_max = settings.checks_work, settings.idle_ms
         told = settings.call_share > 0 and settings.call_span_ms > 0
         self._call_share = settings.call_share * CALL_PART if told else self._cores + self._crowd_more
         self._call_span = settings.call_span_ms if told else span
@@ -184,8 +183,8 @@
         self._in: dict[State, dict[int, Item]] = {state: {} for state in State}
         self._entries: dict[int, float] = {}  # remembered transactions, and when each is forgotten
         self._limit = self._turning = float(settings.cores)
-        self._weight, self._early, self._unread = 1.0, 0, 0.0
-        self._reads, self._busy, self._unread_ms = 0, 0.0, 0.0
+        self._weight, self._early, self._reads, self._idle = 1.0, 0, 0, settings.idle_ms
+        self._unread, self._busy, self._unread_ms = 0.0, 0.0, 0.0
         self._window_end, self._wake_at = now + WINDOW_MS, inf
         self._drain_at = self._kill = inf
         self._said = 1.0
@@ -195,9 +194,7 @@
 
     def start(self, now: float) -> Result:
         """The process has come up: its first outward words."""
-        if self._checks_work:  # answered from store, checks cost next to nothing
-            self._result.health = Health(good=True, stored=True)
-        self._result.idle_ms = self._idle or None  # idle ones go early where they are charged
+        self._result.health = Health(True, stored=True) if self._checks_work else None  # at little cost
         return self._decide(now)
 
     def read(self, now: float, arrival: Arrival) -> Result:
@@ -208,6 +205,9 @@
         reached = now - arrival.unread_ms
         self._unread = max(self._unread, arrival.unread_ms / grading.quoted)
         self._reads, self._unread_ms = self._reads + 1, arrival.unread_ms
+        self._again.add(now, float(arrival.again))
+        tries, count = self._again.total(now)
+        self._further = tries / count if self._marks_again else 0.0
         self._rank(item, arrival, now)
         if reached > self._drain_at + self._grace:  # rule 3
             self._turn_away(item, now)
@@ -333,18 +333,15 @@
         self._in[state][item.id] = item
 
     def _rank(self, item: Item, arrival: Arrival, now: float) -> None:
-        """Credit over expected work, less for a customer that has started its share here, or its part of what was
-        started where that is more: a quick server does more than an even part of everyone's."""
+        """Credit over expected work, less beyond a customer's share, or its part of all starts if more."""
         if arrival.customer in self._started:
             part = self._shares[arrival.customer]
             counts = {name: ring.total(now)[1] for name, ring in self._started.items()}
             part *= max(1.0, sum(counts.values()) / max(sum(self._shares.values()), 1e-9))
             item.inside = min(1.0, (part + SIGMAS * sqrt(part)) / max(counts[arrival.customer], 1e-9))
         worth = item.inside + self._beyond * (1 - item.inside)
-        self._again.add(now, float(arrival.again))
-        if arrival.again and self._marks_again:
-            tries, count = self._again.total(now)
-            worth *= max(AGAIN_LEAST, 1 - tries / count)
+        if arrival.again:
+            worth *= max(AGAIN_LEAST, 1 - self._further)
         density = item.grading.credit * worth / (1.0 if self._by_work else max(item.work, 1e-9))
         item.sort = (-density, item.worth_until, item.id)
 
@@ -356,22 +353,18 @@
         """The time by which it has to be answered, whatever becomes of it."""
         return min(item.due, self._kill - self._last_words)
 
-    def _whole(self, item: Item, now: float) -> float:
-        return item.work + item.grading.at_calls.at(now)
-
     def _too_late(self, item: Item, now: float) -> bool:
         """The design's prediction: held work ahead over the running limit, plus the own mean."""
         ahead = sum(each.work for each in self._in[State.HELD].values() if each.sort < item.sort)
         wait = ahead / self._turning if self._turning else inf
-        return now + SPREAD * (wait + self._whole(item, now)) > self._judged(item)
+        return now + SPREAD * (wait + item.work + item.grading.at_calls.at(now)) > self._judged(item)
 
     def _hopeless(self, item: Item, now: float, full: bool) -> bool:
-        """Not in time even if it started now. With a core free only recent runs of its grade can tell: a server
-        that turned slow sends on what it would only spoil, yet tries again once it has run none for a while, as
-        what it learned under pressure would otherwise keep it from ever learning better."""
+        """Not in time even if it started now. With a core free only recent runs can tell: a slow server sends
+        on what it would spoil, yet what it learned under pressure does not keep it from learning better."""
         own = item.work if full else min(item.work, item.grading.run.lately(now))
-        calls = item.grading.at_calls.at(now) if full else item.grading.at_calls.lately(now)
-        return now + own + calls > self._judged(item)
+        calls = item.grading.at_calls
+        return now + own + (calls.at(now) if full else calls.lately(now)) > self._judged(item)
 
     def _turn_away(self, item: Item, now: float, last: bool = False) -> None:
         self._early += 1
@@ -396,14 +389,21 @@
         elif self._unread <= UNREAD_KEEP and (self._reads or self._busy < BUSY):
             self._weight = min(1.0, self._weight + WEIGHT_GAIN)
         self._count_turning(now)
+        self._trim_idle()
         self._early, self._reads, self._unread = 0, 0, 0.0
         self._window_end = now + WINDOW_MS
         self._entries = {ident: until for ident, until in self._entries.items() if until > now}
 
+    def _trim_idle(self) -> None:
+        """A full table turns callers back unseen. In a storm of further tries, where connections stay longer,
+        that costs nothing; elsewhere cores idle for it. Harm: a few callers that pause open theirs anew."""
+        span = self._idle_max * max(IDLE_LEAST, self._further)
+        if abs(span - self._idle) > 0.1 * self._idle_max:
+            self._idle = self._result.idle_ms = span
+
     def _size_calls(self, now: float, took_ms: float) -> None:
-        """How many calls may be out, judged by each that ends: what is crowded answers less in all. Under one,
-        calls go out one by one with a rest between. It covers whatever slows the calls; where calls vary
-        widely by themselves it keeps fewer out than there is room for."""
+        """How many calls may be out, judged by each that ends: what is crowded answers less. Under one a
+        rest follows each. It covers whatever slows the calls; where they vary widely it lets too few out."""
         if took_ms > CALLS_SLOW * self._call_best:
             self._call_limit = max(CALL_LEAST * self._call_share, self._call_limit * WEIGHT_CUT)
         else:
--- a/nickelslip/admission/interface.py
+++ b/nickelslip/admission/interface.py
@@ -124,7 +124,6 @@
     entry_kb: float = 0.0
     fresh_ms: float = 0.0  # how long the answer to a read may serve others
     idle_ms: float = 0.0  # callers close unused connections after this
-    connections_charged: bool = False  # open connections are charged for
     checks_work: bool = False  # a check works like a small transaction unless answered from store
 
 
