--- a/nickelslip/admission/control.py
+++ b/nickelslip/admission/control.py
@@ -32,7 +32,7 @@
 TRUST = 2.0  # runs' worth of long memory mixed into the recent mean
 SPREAD = 1.5  # a prediction at the door allows for work that will come ahead and for runs over the mean
 LEAVE_AFTER = 0.5  # part of the drain's grace in which the weight stays: its cores are still worth having
-IDLE_LEAST = 0.25  # of the callers' own time for idle connections
+IDLE_FROM, IDLE_LEAST = 2.0, 0.25  # from so many crowds' worth open, such a part of the callers' own time
 STUCK = 4.0  # a run over so many means frees no slot soon
 BUSY = 0.9  # under this share of busy cores they count as idle
 CROWD_PART = 0.7  # of the crowd that a server survives, all that can be on the cores at once
@@ -184,7 +184,7 @@
         self._entries: dict[int, float] = {}  # remembered transactions, and when each is forgotten
         self._limit = self._turning = float(settings.cores)
         self._weight, self._early, self._reads, self._idle = 1.0, 0, 0, settings.idle_ms
-        self._unread, self._busy, self._unread_ms = 0.0, 0.0, 0.0
+        self._unread, self._busy, self._unread_ms, self._connections = 0.0, 0.0, 0.0, 0.0
         self._window_end, self._wake_at = now + WINDOW_MS, inf
         self._drain_at = self._kill = inf
         self._said = 1.0
@@ -284,10 +284,9 @@
 
     def timer(self, now: float, gauges: Gauges) -> Result:
         """A wake that was asked for, with the gauges of the moment."""
-        if now >= self._wake_at:
-            self._wake_at = inf
+        self._wake_at = inf if now >= self._wake_at else self._wake_at
         if now >= self._window_end and gauges.busy is not None:
-            self._busy = gauges.busy
+            self._busy, self._connections = gauges.busy, gauges.connections or 0.0
             self._size_limit()
         return self._decide(now)
 
@@ -396,8 +395,9 @@
 
     def _trim_idle(self) -> None:
         """A full table turns callers back unseen. In a storm of further tries, where connections stay longer,
-        that costs nothing; elsewhere cores idle for it. Harm: a few callers that pause open theirs anew."""
-        span = self._idle_max * max(IDLE_LEAST, self._further)
+        that costs nothing; elsewhere cores idle for it. Harm: callers that pause open theirs anew."""
+        many = self._connections > IDLE_FROM * self._crowd_more
+        span = self._idle_max * (max(IDLE_LEAST, self._further) if many else 1.0)
         if abs(span - self._idle) > 0.1 * self._idle_max:
             self._idle = self._result.idle_ms = span
 
