Work worth far more for its work may start one over the running limit

Guards against any head of line of long work on few cores; harm: it slows what runs, and the crowd's ceiling stays as it was.

--- a/nickelslip/admission/control.py
+++ b/nickelslip/admission/control.py
@@ -6,8 +6,7 @@
 types are in interface.py beside this file; docs/design.md says what each part is for and when each
 departure from the design acts. Nothing here reads a clock, does I/O or shares state.
 
-Order of reading: the tuned ratios, Ring and Mean (what is learned), Grading (a service grade's
-derived figures), Item (a transaction), then Control: events, decisions, the four rules' figures.
+Order: tuned ratios, Ring and Mean (what is learned), Grading, Item, Control (events, decisions, rules).
 """
 
 from __future__ import annotations
@@ -33,6 +32,7 @@
 SPREAD = 1.5  # a prediction at the door allows for work that will come ahead and for runs over the mean
 LEAVE_AFTER = 0.5  # part of the drain's grace in which the weight stays: its cores are still worth having
 IDLE_FROM, IDLE_LEAST = 2.0, 0.25  # from so many crowds' worth open, such a part of the callers' own time
+AHEAD = 2.0  # so many times the credit for its work of all that runs may start one over the limit
 STUCK = 4.0  # a run over so many means frees no slot soon
 BUSY = 0.9  # under this share of busy cores they count as idle
 CROWD_PART = 0.7  # of the crowd that a server survives, all that can be on the cores at once
@@ -172,13 +172,11 @@
         self._checks_work, self._idle_max = settings.checks_work, settings.idle_ms
         told = settings.call_share > 0 and settings.call_span_ms > 0
         self._call_share = settings.call_share * CALL_PART if told else self._cores + self._crowd_more
-        self._call_span = settings.call_span_ms if told else span
-        self._linger = settings.call_linger_ms
+        self._call_span, self._linger = settings.call_span_ms if told else span, settings.call_linger_ms
         self._call_ring, self._call_mark = Ring(self._call_span * 17 / 16), now
         self._lingering: list[float] = []  # when each call given up leaves
         self._call_time = Mean(min(grade.quoted_ms for grade in settings.grades) * CALL_GUESS, span)
-        self._call_best, self._call_rest = inf, now
-        self._call_limit = self._call_share
+        self._call_best, self._call_rest, self._call_limit = inf, now, self._call_share
         self._items: dict[int, Item] = {}
         self._in: dict[State, dict[int, Item]] = {state: {} for state in State}
         self._entries: dict[int, float] = {}  # remembered transactions, and when each is forgotten
@@ -187,8 +185,7 @@
         self._unread, self._busy, self._unread_ms, self._connections = 0.0, 0.0, 0.0, 0.0
         self._window_end, self._wake_at = now + WINDOW_MS, inf
         self._drain_at = self._kill = inf
-        self._said = 1.0
-        self._result = Result()
+        self._said, self._result = 1.0, Result()
 
     # Events
 
@@ -263,7 +260,7 @@
                 self._move(now, item, State.RUNNING, told=False)
             else:
                 self._move(now, item, State.AT_CALL, told=False)
-                # One turned away is not sent again at once: what sheds calls needs fewer of them.
+                # what sheds calls needs fewer of them, so one turned away is not sent again at once
                 item.limit = now + self._call_time.at(now) if outcome.proves_never_ran else -inf
                 if not (item.grading.replayable or outcome.proves_never_ran):  # rule 2
                     self._move(now, item, State.OMITTED if item.grading.omittable else State.FORFEITED)
@@ -369,9 +366,8 @@
         self._early += 1
         held = sum(each.work for each in self._in[State.HELD].values())
         spread = self._advice_part * self._random.uniform(0.75, 1.25)  # so that not all come back at once
-        advice = (self._unread_ms + held / self._limit) * spread
-        if now >= self._drain_at:
-            advice = self._advice_max  # this server will not be back for this caller
+        # once it drains, this server will not be back for this caller
+        advice = inf if now >= self._drain_at else (self._unread_ms + held / self._limit) * spread
         self._move(now, item, State.DISMISSED, min(advice, self._advice_max), last and now < self._drain_at)
 
     def _learn(self, item: Item, now: float, core_ms: float) -> None:
@@ -453,7 +449,7 @@
         crowd = CROWD_PART * self._crowd(now)
         for item in held:
             on_cores = self._on_cores()
-            if on_cores >= self._limit or on_cores + len(self._in[State.CALLING]) >= crowd:
+            if on_cores >= min(self._limit + self._ahead(item), crowd - len(self._in[State.CALLING])):
                 return
             if item.ran and not item.grading.replayable:
                 continue
@@ -462,6 +458,11 @@
             if self._used() + (self._run_factor - 1) * item.kb <= self._memory:
                 self._move(now, item, State.RUNNING)
 
+    def _ahead(self, item: Item) -> int:
+        """One over the limit where all that runs is worth far less for its work. Harm: it slows what runs."""
+        runs = [*self._in[State.RUNNING].values(), *self._in[State.OMITTED].values()]
+        return int(bool(runs) and all(item.sort[0] <= AHEAD * each.sort[0] for each in runs))
+
     def _serve_calls(self, now: float) -> None:
         """Leave to call, most credit for its work first; what cannot goes on without or is given up."""
         if not self._in[State.AT_CALL]:
