--- a/nickelslip/admission/control.py
+++ b/nickelslip/admission/control.py
@@ -453,8 +453,8 @@
                 return
             if item.ran and not item.grading.replayable:
                 continue
-            if item.grading.calls and len(self._in[State.AT_CALL]) >= self._cores:
-                continue  # a line stands at the calls: more runs would only join it
+            if item.grading.calls and not item.grading.omittable and len(self._in[State.AT_CALL]) >= self._cores:
+                continue  # a line stands at the calls: more that needs one would only join it
             if self._used() + (self._run_factor - 1) * item.kb <= self._memory:
                 self._move(now, item, State.RUNNING)
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -156,6 +156,15 @@
     assert world.known[1].answers == 0 and world.at("core") == [1]
 
 
+def test_what_can_leave_its_call_out_starts_although_a_line_stands_at_the_calls():
+    world = World(settings(call_share=0.0001))
+    for ident in (1, 2):
+        world.read(ident, PAY)
+        world.call(ident)
+    assert world.at("call") == [1, 2]
+    assert states(world.read(3, PAY)) == [] and states(world.read(4, READ)) == [(4, State.RUNNING)]
+
+
 def test_calls_given_up_count_until_they_have_left():
     world = World(settings(call_share=1.3, cores=4))
     for ident in (1, 2, 3):
