--- a/nickelslip/admission/control.py
+++ b/nickelslip/admission/control.py
@@ -446,14 +446,14 @@
 
     def _start_held(self, now: float) -> None:
         held = sorted(self._in[State.HELD].values(), key=lambda each: each.sort)
-        crowd = CROWD_PART * self._crowd(now)
+        crowd, line = CROWD_PART * self._crowd(now), len(self._in[State.AT_CALL]) >= self._cores
         for item in held:
             on_cores = self._on_cores()
             if on_cores >= min(self._limit + self._ahead(item), crowd - len(self._in[State.CALLING])):
                 return
             if item.ran and not item.grading.replayable:
                 continue
-            if item.grading.calls and not item.grading.omittable and len(self._in[State.AT_CALL]) >= self._cores:
+            if line and item.grading.calls and not item.grading.omittable:
                 continue  # a line stands at the calls: more that needs one would only join it
             if self._used() + (self._run_factor - 1) * item.kb <= self._memory:
                 self._move(now, item, State.RUNNING)
