--- a/nickelslip/bench/adapter.py
+++ b/nickelslip/bench/adapter.py
@@ -9,6 +9,7 @@
 from nickelslip.admission.control import Control
 from nickelslip.admission.interface import Result, Settings
 from nickelslip.bench import codec
+from nickelslip.settings import Malformed, settings_from
 
 # How many values stand behind the instance in a line, at least.
 VALUES = {"ASK": 2, "FINISHED": 3, "STALLED_ON_CALL": 1, "RETURNED": 3, "TIMED_OUT_CLIENT": 1, "DRAIN": 1, "WAKE": 1,
@@ -35,7 +36,7 @@
         try:
             if verb == "START":
                 seed, text = line.split(" ", 3)[2:]
-                call = partial(self._start, instance, codec.settings_from(text), int(seed), now)
+                call = partial(self._start, instance, settings_from(text), int(seed), now)
             elif verb not in VALUES:
                 raise ValueError("no such message")
             elif len(parts) - 2 < VALUES[verb]:
@@ -45,7 +46,7 @@
                 return []
             else:
                 call = partial(self._event, instance, now, verb, self._values(verb, parts[2:]))
-        except (ValueError, KeyError) as error:
+        except (ValueError, KeyError, Malformed) as error:
             raise codec.Malformed(f"malformed line: {line[:200]!r}: {error}") from error
         try:
             return codec.lines_from(instance, call())
--- a/nickelslip/bench/codec.py
+++ b/nickelslip/bench/codec.py
@@ -1,21 +1,11 @@
-"""The text of the bench's wire: lines to fields, the settings' JSON to Settings, results to lines."""
+"""The text of the bench's wire: lines to fields, results to lines."""
 
 from __future__ import annotations
 
-import json
 import math
 
-from nickelslip.admission.interface import (
-    Arrival, Customer, Gauges, Grade, Outcome, Repeat, Result, Said, Settings, State, Stopping,
-)
+from nickelslip.admission.interface import Arrival, Gauges, Outcome, Result, State
 
-REPEATS = {
-    "read_like": Repeat.REPLAYABLE,
-    "idempotency_key": Repeat.REFERENCED,
-    "non_idempotent": Repeat.SINGLE_USE,
-}
-STOPPINGS = {"silent": Stopping.NEVER, "drop": Stopping.DROP, "pause": Stopping.PAUSE}
-SAID = {"silent": Said.NOTHING, "bias": Said.CHANCE, "tokens": Said.SLOTS, "min_rank": Said.RANK}
 OUTCOMES = {
     "0": Outcome.OK, "5": Outcome.ERROR, "11": Outcome.FULL, "110": Outcome.TIMEOUT, "111": Outcome.UNREACHED,
     "104": Outcome.RESET, "125": Outcome.CANCELLED, "114": Outcome.MOOT,
@@ -27,52 +17,7 @@
 
 
 class Malformed(Exception):
-    """A line or settings that cannot be understood."""
-
-
-def settings_from(text: str) -> Settings:
-    """Settings from the JSON of a START line."""
-    try:
-        info = json.loads(text)
-        facts, bounds, rules = info["specifics"], info["bounds"], info["invariants"]
-        below = facts.get("below", "silent")
-        known_calls = facts.get("class-calls") or []
-        omit_shares = facts.get("class-skip-worth") or []
-        grades = tuple(
-            Grade(
-                name=str(each["name"]), credit=float(each["gain"]), quoted_ms=float(each["aim-ms"]),
-                abandon_ms=float(each["deadline-ms"]), repeat=REPEATS[each["idempotency"]],
-                window_ms=float(each.get("memory-span-ms") or 0.0), late_share=float(each.get("late-worth") or 0.0),
-                stretch=float(each.get("aim-stretch") or 0.0),
-                calls=below != "silent" and (bool(known_calls[at]) if at < len(known_calls) else True),
-                omit_share=float(omit_shares[at]) if at < len(omit_shares) else 0.0,
-            )
-            for at, each in enumerate(info["classes"])
-        )
-        return Settings(
-            grades=grades, cores=int(facts["cpus"]), memory_kb=float(facts["memory-kb"]),
-            run_factor=float(facts["run-factor"]), cold=bool(facts.get("cold", False)),
-            cold_from=float(rules["cold-from"]), cold_ms=float(rules["cold-ms"]),
-            crowd_multiple=float(rules["fall-multiple"]),
-            answer_slack_ms=float(rules["answer-slack-ms"]),
-            drain_grace_ms=float(rules["stop-sending-within-ms"]), tick_ms=float(info["tick-ms"]),
-            servers=max(1, int(info.get("servers") or 1)), callers=max(1, int(facts.get("callers") or 1)),
-            customers=tuple(
-                Customer(str(each["name"]), float(each.get("quota-rps") or 0.0)) for each in info.get("tenants") or []
-            ),
-            beyond_share_worth=float(info.get("over-share-worth", 1.0)),
-            counted_by_work=info.get("counted-by") == "work",
-            marks_again=bool((info.get("client-habits") or {}).get("marks-retry", False)),
-            stopping=STOPPINGS[facts.get("stop-mode", "silent")], said=SAID[facts.get("say", "silent")],
-            advice_max_ms=float(bounds.get("max-retry-after-ms") or 0.0) if bounds.get("retry-after") else 0.0,
-            call_share=float(facts.get("dep-share") or 0.0) if below == "common" else 0.0,
-            call_span_ms=float(facts.get("calls-over-ms") or 0.0),
-            call_linger_ms=float(facts.get("stays-for-ms") or 0.0), entry_kb=float(facts.get("kb-per-key") or 0.0),
-            fresh_ms=float(facts.get("fresh-ms") or 0.0), idle_ms=float(facts.get("idle-ms") or 0.0),
-            checks_work=bool(facts.get("real-checks", False)),
-        )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise Malformed(f"settings lack what is needed: {type(error).__name__}: {error}") from error
+    """A line that cannot be understood."""
 
 
 def clock_from(text: str) -> float:
--- /dev/null
+++ b/nickelslip/server/__init__.py
@@ -0,0 +1,1 @@
+"""The real server: one program on sockets round the module of decisions."""
--- /dev/null
+++ b/nickelslip/server/balancers.py
@@ -0,0 +1,305 @@
+"""The front for balancers: listener, connections and what is spoken on them.
+
+Owns the listening socket, every balancer's connection with the transactions open on it, and the words of the
+protocol. Each transaction that was read lives in a task of its own and is answered here on the connection it came
+on. It must never decide what becomes of one, and nothing on one connection may hold up another.
+"""
+
+from __future__ import annotations
+
+import errno
+import math
+import socket
+from typing import TYPE_CHECKING
+
+import anyio
+
+from nickelslip.admission.interface import Repeat, State
+from nickelslip.server import resp
+from nickelslip.server.config import Address
+from nickelslip.server.endings import Ended, Ending
+from nickelslip.server.streams import Stream
+from nickelslip.server.transactions import Answer, Asked, Gone, Transaction
+
+if TYPE_CHECKING:
+    from nickelslip.server.node import Node
+
+OPEN_MOST = 32  # transactions on one connection
+BODY_MOST = 2 * 1024
+KB_MOST = 2000.0
+TAG_DIGITS = 18
+SPAN_MOST_MS = 86_400_000.0
+BACKLOG_MOST = 64 * 1024  # unread answers over which no more is read from a connection
+DESCRIPTORS_ELSE = 24  # what the process needs beside balancers' connections
+ACCEPT_PAUSE_S = 0.05
+FULL = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+WORDS = {State.SATISFIED: b"done", State.DISMISSED: b"later", State.FORFEITED: b"error"}
+
+
+def bind(address: Address) -> socket.socket:
+    """A listening socket on this address and no other."""
+    sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(address)
+        sock.listen(1024)
+        sock.setblocking(False)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
+class BadField(Exception):
+    """A field that is missing, doubled or out of range."""
+
+
+def figure(fields: dict[str, str], name: str, least: float, most: float) -> float | None:
+    """A number over the least and up to the most, or None where it is absent."""
+    text = fields.get(name)
+    if text is None:
+        return None
+    try:
+        value = float(text)
+    except ValueError:
+        raise BadField(name) from None
+    if not math.isfinite(value) or not least < value <= most or "_" in text:
+        raise BadField(name)
+    return value
+
+
+def asked_from(parts: list[bytes], repeats: dict[str, Repeat], customers: frozenset[str]) -> Asked:
+    """The transaction in an ASK behind its tag: grade, fields and body."""
+    if not 2 <= len(parts) <= 3:
+        raise BadField("parts")
+    try:
+        grade, text = parts[0].decode(), parts[1].decode()
+    except UnicodeDecodeError:
+        raise BadField("text") from None
+    body = parts[2] if len(parts) == 3 else b""
+    fields: dict[str, str] = {}
+    for pair in text.split(","):
+        name, is_pair, value = pair.partition("=")
+        if not is_pair or not value or name in fields:
+            raise BadField(name)
+        fields[name] = value
+    ident = fields.get("req", "")
+    if len(ident) != 16 or any(digit not in "0123456789abcdefABCDEF" for digit in ident):
+        raise BadField("req")
+    if grade not in repeats or len(body) > BODY_MOST:
+        raise BadField("grade or body")
+    customer = fields.get("owner")
+    if customers and customer not in customers:
+        raise BadField("owner")
+    reached, kb = figure(fields, "ts", 0.0, 1e15), figure(fields, "need", 0.0, KB_MOST)
+    if reached is None or kb is None or kb == KB_MOST or fields.get("resent", "1") not in ("0", "1"):
+        raise BadField("ts, need or resent")
+    level, via = figure(fields, "level", -1e-9, 1.0), fields.get("via", "")
+    if level == 1.0 or not via.isascii() or not via.isdigit() or len(via) > TAG_DIGITS:
+        raise BadField("level or via")
+    referenced = repeats[grade] is Repeat.REFERENCED
+    return Asked(
+        ident=ident, grade=grade, body=body, reached=reached, kb=kb, customer=customer,
+        wait_ms=figure(fields, "timeout", 0.0, SPAN_MOST_MS), cost_hint_ms=figure(fields, "ms", 0.0, SPAN_MOST_MS),
+        again=fields.get("resent") == "1", caller=int(via), mark=fields.get("opkey" if referenced else "subject"))
+
+
+class Connection:
+    """One balancer's connection."""
+
+    def __init__(self, front: Balancers, sock: socket.socket) -> None:
+        self._front, self._node = front, front.node
+        self.stream = Stream(sock, front.node.buffers, front.node.tasks, front.node.stall_ms, BACKLOG_MOST)
+        self._open: dict[int, Transaction] = {}
+        self.used = front.node.clock()
+        self.closing = False
+        self._quiet = anyio.Event()
+
+    async def serve(self) -> None:
+        """Read messages until the connection ends, and then tell the module of every caller that it took along."""
+        fault = Ended(Ending.FAULT)
+        try:
+            while True:
+                await self.stream.room()
+                await self.stream.fill()
+                self._read()
+        except Ended as ended:
+            fault = ended
+            if ended.ending in (Ending.GARBLED, Ending.STALLED):
+                await self._answer_the_rest()
+        finally:
+            self.stream.end_with(fault.ending)
+            for one in self._open.values():
+                one.post(Gone())
+            self._open.clear()
+            if fault.ending is not Ending.CLOSED:
+                self._node.log.info("balancer connection ended", ending=fault.ending.name, detail=fault.detail)
+
+    def _read(self) -> None:
+        stream = self.stream
+        while stream.data is not None:
+            try:
+                whole = resp.parse(stream.data, stream.start, stream.end)
+            except resp.Garbled as garbled:
+                raise Ended(Ending.GARBLED, str(garbled)) from None
+            if whole is None:
+                return
+            parts, upto = whole
+            stream.take(upto)
+            self.used = self._node.clock()
+            self._message(parts)
+
+    def _message(self, parts: list[bytes]) -> None:
+        verb, digits = parts[0], parts[1] if len(parts) > 1 else b""
+        if not digits.isdigit() or len(digits) > TAG_DIGITS or not int(digits):
+            raise Ended(Ending.GARBLED, f"a tag of {digits[:20]!r}")
+        tag = int(digits)
+        if verb == b"NEVERMIND":
+            one = self._open.pop(tag, None)
+            if one is not None:
+                one.post(Gone())
+                self._settle()
+            return
+        if tag in self._open:
+            raise Ended(Ending.GARBLED, f"tag {tag} is in use")
+        if verb == b"STATUS":
+            self._send(tag, b"healthy" if self._node.healthy else b"sick", self._said(self._node.said))
+        elif verb == b"ASK":
+            self._ask(tag, parts[2:])
+        else:
+            self._send(tag, WORDS[State.FORFEITED], self._said(self._node.said))
+
+    def _ask(self, tag: int, parts: list[bytes]) -> None:
+        try:
+            if len(self._open) >= OPEN_MOST:
+                raise BadField("more than may be open")
+            one = Transaction(asked_from(parts, self._front.repeats, self._front.customers),
+                              lambda answer: self._answer(tag, answer))
+        except BadField as bad:
+            self._front.tell_bad(str(bad))
+            self._send(tag, WORDS[State.FORFEITED], self._said(self._node.said))
+            return
+        self._open[tag] = one
+        if not self._node.take(one):
+            one.answer(Answer(State.FORFEITED, self._node.said))
+
+    def _answer(self, tag: int, answer: Answer) -> None:
+        self._open.pop(tag, None)
+        fields = [self._said(answer.said)] if answer.said is not None else []
+        if answer.state is State.DISMISSED:
+            if answer.stay_away_ms > 0:
+                fields.append(b"holdoff=%.3f" % answer.stay_away_ms)
+            if answer.last:
+                fields.append(b"nomore=1")
+        self._send(tag, WORDS[answer.state], b",".join(fields), answer.body)
+        self.used = self._node.clock()
+        self._settle()
+
+    @staticmethod
+    def _said(said: float | None) -> bytes:
+        return b"" if said is None else b"signal=%.6f" % said
+
+    def _send(self, tag: int, word: bytes, fields: bytes, body: bytes = b"") -> None:
+        self.stream.write(resp.message(b"%d" % tag, word, fields, body))
+
+    def _settle(self) -> None:
+        if not self._open:
+            self._quiet.set()
+
+    @property
+    def idle(self) -> bool:
+        return not self._open and self.stream.data is None
+
+    async def _answer_the_rest(self) -> None:
+        """Nothing more is understood here, but what was read is still answered."""
+        while self._open and not self.stream.ending:
+            self._quiet = anyio.Event()
+            await self._quiet.wait()
+        with anyio.move_on_after(self._node.stall_ms / 1000):
+            while not self.stream.all_sent and not self.stream.ending:
+                await anyio.sleep(ACCEPT_PAUSE_S)
+
+    def close(self) -> None:
+        """No new transaction is to come here; the balancer closes when all is answered."""
+        if not self.closing:
+            self.closing = True
+            self.stream.write(resp.message(b"0", b"closing"))
+
+
+class Balancers:
+    """The listener and its connections."""
+
+    def __init__(self, node: Node, listener: socket.socket) -> None:
+        self.node, self._listener = node, listener
+        self.repeats = {grade.name: grade.repeat for grade in node.settings.grades}
+        self.customers = frozenset(each.name for each in node.settings.customers)
+        self._connections: set[Connection] = set()
+        self._most = node.config.descriptors - DESCRIPTORS_ELSE
+        self._bad = 0
+        self._short = False
+
+    def tell_bad(self, what: str) -> None:
+        """Malformed transactions: the first, and then every power of two of them, makes a line."""
+        self._bad += 1
+        if not self._bad & (self._bad - 1):
+            self.node.log.warning("transaction not understood", fault=what, so_far=self._bad)
+
+    async def serve(self) -> None:
+        """Accept until the server leaves."""
+        while True:
+            try:
+                await anyio.wait_readable(self._listener)
+            except (anyio.ClosedResourceError, OSError, ValueError):
+                return
+            if self._accept():
+                await anyio.sleep(ACCEPT_PAUSE_S)
+
+    def _accept(self) -> bool:
+        """Take all connections that wait; whether there were more than descriptors."""
+        short = False
+        while not short:
+            if len(self._connections) >= self._most:
+                short = True
+                break
+            try:
+                sock, _ = self._listener.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                break
+            except OSError as error:
+                if error.errno not in FULL:
+                    raise
+                short = True
+                break
+            connection = Connection(self, sock)
+            self._connections.add(connection)
+            self.node.tasks.start_soon(self.node.guard, self._serve, connection)
+        if short is not self._short:
+            self._short = short
+            self.node.log.warning("descriptors", short=short, connections=len(self._connections))
+        return short
+
+    async def _serve(self, connection: Connection) -> None:
+        try:
+            await connection.serve()
+        finally:
+            self._connections.discard(connection)
+
+    def trim(self, idle_ms: float) -> None:
+        """Have connections closed that were unused for so long; one that is told and stays is ended."""
+        now = self.node.clock()
+        for connection in list(self._connections):
+            if connection.idle and now - connection.used > idle_ms:
+                if not connection.closing:
+                    connection.close()
+                elif now - connection.used > idle_ms + self.node.stall_ms:
+                    connection.stream.end_with(Ending.IDLE)
+
+    async def leave(self) -> None:
+        """Accept what already stands at the door, close it, and see every connection off."""
+        self._accept()
+        anyio.notify_closing(self._listener)
+        self._listener.close()
+        for connection in list(self._connections):
+            connection.close()
+        while self._connections:
+            await anyio.sleep(ACCEPT_PAUSE_S)
--- /dev/null
+++ b/nickelslip/server/node.py
@@ -0,0 +1,401 @@
+"""The node: everything of one server that there is once.
+
+Owns the one Control, its clock, its timer, the table of what is remembered, the drain and the root task group. It
+alone constructs the module, starts it, drains it and calls its timer; transactions reach the module through it, one
+call at a time, and what a call decided is carried out before the call returns. It must never decide for the module,
+nor await anything between a decision and the write that carries it out.
+"""
+
+from __future__ import annotations
+
+import signal
+import time
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import replace
+from enum import Enum
+from math import inf
+from typing import Any, Protocol
+
+import anyio
+import structlog
+from anyio.abc import TaskGroup
+
+from nickelslip.admission.control import Control
+from nickelslip.admission.interface import Change, Gauges, Outcome, Remembrance, Repeat, Result, Settings, State
+from nickelslip.server.config import Config
+from nickelslip.server.directory import Directory
+from nickelslip.server.records import Records
+from nickelslip.server.streams import SIZE, Buffers
+from nickelslip.server.transactions import Answer, Finished, Transaction, live
+from nickelslip.server.workers import Workers
+
+RESULTS_PART = 1 / 4  # of this process's memory, for results that repeats may still ask for
+BUFFERS_PART = 1 / 4  # and for buffers
+ENTRY_KB = 6.0  # an entry of the table in this process, with a result of the largest size
+
+
+class Phase(Enum):
+    """The life of the server."""
+
+    WAITING = "the worker pool is not up yet"
+    SERVING = "transactions are read and decided"
+    DRAINING = "told to leave: what came in time is run, the rest is answered"
+    LEAVING = "the grace is over and nothing is owed: connections are being closed"
+    FAILED = "the module or a task raised: everything read is answered with a failure, and the server ends"
+
+
+class Front(Protocol):
+    """Where transactions come in."""
+
+    async def serve(self) -> None: ...
+    def trim(self, idle_ms: float) -> None: ...
+    async def leave(self) -> None: ...
+
+
+class Entry:
+    """A remembered transaction."""
+
+    __slots__ = ("holder", "until", "result", "over")
+
+    def __init__(self, holder: Transaction, until: float) -> None:
+        self.holder, self.until = holder, until
+        self.result: bytes | None = None
+        self.over = False
+
+
+class Table:
+    """Marks and the transactions remembered by them, as the module says; results are bounded by this process's
+    memory, and a repeat whose result was let go is answered with a failure, never run."""
+
+    def __init__(self, settings: Settings, clock: Callable[[], float], result_bytes: float) -> None:
+        self._grades = {grade.name: grade for grade in settings.grades}
+        self._fresh, self._clock = settings.fresh_ms, clock
+        self._entries: dict[tuple[str, str], Entry] = {}
+        self._kept: OrderedDict[tuple[str, str], int] = OrderedDict()
+        self._bytes, self._bytes_most = 0, result_bytes
+
+    def _mark(self, one: Transaction) -> tuple[str, str] | None:
+        return None if one.asked.mark is None else (one.asked.grade, one.asked.mark)
+
+    def _replayable(self, one: Transaction) -> bool:
+        return self._grades[one.asked.grade].repeat is Repeat.REPLAYABLE
+
+    def forerunner(self, one: Transaction) -> Transaction | None:
+        """The remembered transaction of which this is a repeat, or a like read whose answer still serves."""
+        mark = self._mark(one)
+        entry = self._entries.get(mark) if mark else None
+        if entry is None or mark is None:
+            return None
+        if entry.until <= self._clock():
+            self._drop(mark)
+            return None
+        return entry.holder
+
+    def remember(self, one: Transaction, span_ms: float) -> None:
+        mark = self._mark(one)
+        if mark is None:
+            return
+        if span_ms > 0:
+            if self._grades[one.asked.grade].repeat is Repeat.REFERENCED or self._fresh > 0:
+                old = self._entries.get(mark)
+                if old is not None and old.holder is not one:
+                    self._drop(mark)
+                entry = self._entries.setdefault(mark, Entry(one, 0.0))
+                entry.until = self._clock() + span_ms
+        elif mark in self._entries and self._entries[mark].holder is one:
+            self._drop(mark)
+
+    def join(self, one: Transaction) -> None:
+        """Let a repeat have its forerunner's result, now or when it is there."""
+        mark = self._mark(one)
+        entry = self._entries.get(mark) if mark else None
+        if entry is not None and not entry.over:
+            entry.holder.joiners.append(one)
+        elif entry is not None and entry.result is not None:
+            one.post(Finished(Outcome.OK, 0.0, entry.result))
+        else:
+            one.post(Finished(Outcome.ERROR, 0.0))
+
+    def settle(self, one: Transaction, outcome: Outcome, body: bytes = b"") -> None:
+        """A transaction is over: what joined it learns how, and a good result is kept for those still to come."""
+        now = self._clock()
+        joiners, one.joiners = one.joiners, []
+        for each in joiners:
+            each.post(Finished(Outcome.OK if outcome is Outcome.OK else Outcome.ERROR, now - each.joined_since, body))
+        mark = self._mark(one)
+        entry = self._entries.get(mark) if mark else None
+        if entry is None or mark is None or entry.holder is not one or entry.over:
+            return
+        entry.over = True
+        if outcome is Outcome.OK:
+            entry.result = body
+            self._kept[mark] = len(body)
+            self._bytes += len(body)
+            if self._replayable(one):
+                entry.until = min(entry.until, now + self._fresh)
+            while self._bytes > self._bytes_most:
+                old, size = self._kept.popitem(last=False)
+                self._bytes -= size
+                self._entries[old].result = None
+        elif self._replayable(one):
+            self._drop(mark)
+
+    def _drop(self, mark: tuple[str, str]) -> None:
+        del self._entries[mark]
+        self._bytes -= self._kept.pop(mark, 0)
+
+    def purge(self) -> None:
+        now = self._clock()
+        for mark in [mark for mark, entry in self._entries.items() if entry.until <= now]:
+            self._drop(mark)
+
+
+class Node:
+    """One server."""
+
+    def __init__(self, config: Config) -> None:
+        self.config, self.log = config, structlog.get_logger()
+        self._origin = time.time() * 1000 - time.monotonic() * 1000
+        self.phase = Phase.WAITING
+        self.said: float | None = None
+        self.healthy = True
+        self.idle_ms: float | None = None
+        entries_most = config.memory_mb * 1024 * RESULTS_PART / ENTRY_KB
+        # so that the module's bound on the table keeps this process's memory, too
+        entry_kb = max(config.settings.entry_kb, config.settings.memory_kb / entries_most)
+        self.settings = replace(config.settings, entry_kb=entry_kb)
+        self.buffers = Buffers(int(config.memory_mb * 1024 * 1024 * BUFFERS_PART / SIZE))
+        self.transactions: dict[int, Transaction] = {}
+        self.table = Table(self.settings, self.clock, config.memory_mb * 1024 * 1024 * RESULTS_PART)
+        self.workers = Workers(self)
+        self.records = Records(self)
+        self.directory = Directory(self)
+        self.fronts: list[Front] = []
+        self.tasks: TaskGroup
+        self.stall_ms = max(grade.abandon_ms for grade in config.settings.grades)
+        self._control: Control | None = None
+        self._deciding = False
+        self._wake = inf
+        self._wake_moved = anyio.Event()
+        self._changed = anyio.Event()
+        self._kill = inf
+
+    def clock(self) -> float:
+        """Unix milliseconds that only go forward."""
+        return self._origin + time.monotonic() * 1000
+
+    # Life
+
+    async def run(self) -> bool:
+        """Serve until told to leave; whether it ended as it should."""
+        async with anyio.create_task_group() as self.tasks:
+            for part in (self._notices, self.workers.run, self.records.run, self.directory.run, self._timer,
+                         *(front.serve for front in self.fronts)):
+                self.tasks.start_soon(self.guard, part)
+            await self._leave_when_due()
+            self.tasks.cancel_scope.cancel()
+        return self.phase is not Phase.FAILED
+
+    async def _notices(self) -> None:
+        """The notice to leave; a person at a terminal may insist with a second interrupt."""
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as notices:
+            async for notice in notices:
+                self.log.info("notice", signal=signal.Signals(notice).name)
+                if notice == signal.SIGINT and self.phase not in (Phase.WAITING, Phase.SERVING):
+                    raise KeyboardInterrupt
+                self.leave()
+
+    async def guard(self, part: Callable[..., Any], *values: Any) -> None:
+        """A task whose error ends the server in the open."""
+        try:
+            await part(*values)
+        except Exception as error:  # whatever it is, everything read is still answered
+            self.fail(error)
+
+    def _enter(self, phase: Phase) -> None:
+        """The one place where the server changes its phase."""
+        if self.phase is not phase and self.phase is not Phase.FAILED:
+            self.log.info("phase", now=phase.name, means=phase.value, in_hand=len(self.transactions))
+            self.phase = phase
+            self._tell_change()
+
+    def fail(self, error: Exception) -> None:
+        if self.phase is Phase.FAILED:
+            return
+        self.log.error("failed", error=repr(error), exc_info=error)
+        self._enter(Phase.FAILED)
+        self.healthy, self._control = False, None
+        for one in list(self.transactions.values()):
+            self._forfeit(one)
+
+    def _forfeit(self, one: Transaction) -> None:
+        one.answer(Answer(State.FORFEITED, self.said))
+        one.run_out = False
+        one.enter(State.FORFEITED)
+        one.nudge()
+
+    def workers_up(self, ago_ms: float) -> None:
+        """The worker pool came up so long ago: the module begins with it."""
+        if self.phase is not Phase.WAITING:
+            return
+        now = self.clock()
+        try:
+            self._control = Control(self.settings, self.config.seed, now - max(0.0, ago_ms))
+        except Exception as error:
+            self.fail(error)
+            return
+        self._enter(Phase.SERVING)
+        self._decide(Control.start)
+
+    def leave(self) -> None:
+        """Told to leave: the notice counts once."""
+        if self.phase is Phase.SERVING:
+            self._kill = self.clock() + self.config.stop_ms
+            self._enter(Phase.DRAINING)
+            self._decide(Control.drain, self._kill)
+        elif self.phase is Phase.WAITING:
+            self.healthy = False
+            self._enter(Phase.LEAVING)
+
+    async def _leave_when_due(self) -> None:
+        """Wait for the notice, the grace and the last answer; then close what is open, and end."""
+        while self.phase in (Phase.WAITING, Phase.SERVING):
+            await self._change()
+        if self.phase is Phase.DRAINING:
+            grace = self.settings.drain_grace_ms + self.settings.answer_slack_ms
+            with anyio.move_on_after(grace / 1000):
+                while self.phase is Phase.DRAINING:
+                    await self._change()
+        while self.phase is Phase.DRAINING and any(
+                not one.answered and not one.gone for one in self.transactions.values()):
+            await self._change()
+        self._enter(Phase.LEAVING)
+        left = min(self._kill - self.clock(), self.config.stop_ms) - self.settings.answer_slack_ms
+        with anyio.move_on_after(max(left, 0.0) / 1000):
+            for front in self.fronts:
+                await front.leave()
+        self.log.info("ended", in_hand=len(self.transactions))
+
+    def _tell_change(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    async def health_changed(self, known: bool) -> None:
+        """Wait until the health is another than the known one."""
+        while self.healthy is known:
+            await self._change()
+
+    async def _change(self) -> None:
+        changed = self._changed
+        await changed.wait()
+
+    # Transactions
+
+    def take(self, one: Transaction) -> bool:
+        """A front has read this one; False where an id is in hand already. Its life goes on in a task."""
+        if one.number in self.transactions:
+            return False
+        self.transactions[one.number] = one
+        if self._control is None:
+            del self.transactions[one.number]
+            one.answer(Answer(State.FORFEITED, self.said))
+        else:
+            self.tasks.start_soon(self.guard, self._live, one)
+        return True
+
+    async def _live(self, one: Transaction) -> None:
+        try:
+            await live(self, one)
+        finally:
+            del self.transactions[one.number]
+            self._tell_change()
+
+    def read(self, one: Transaction) -> None:
+        earlier = self.table.forerunner(one)
+        arrival = one.asked.arrival(one.number, self.clock(), earlier.number if earlier else None)
+        self._decide(Control.read, arrival)
+
+    def ended(self, one: Transaction, outcome: Outcome, took_ms: float) -> None:
+        self._decide(Control.ended, one.number, outcome, took_ms)
+
+    def at_call(self, one: Transaction) -> None:
+        self._decide(Control.at_call, one.number)
+
+    def call_returned(self, one: Transaction, outcome: Outcome, took_ms: float) -> None:
+        self._decide(Control.call_returned, one.number, outcome, took_ms)
+
+    def caller_gone(self, one: Transaction) -> None:
+        self._decide(Control.caller_gone, one.number)
+
+    # The module
+
+    def _decide(self, call: Callable[..., Result], *values: object) -> None:
+        """One call of the module, and all that it decided."""
+        if self._control is None:  # failed: what is still in hand has been answered
+            for one in list(self.transactions.values()):
+                self._forfeit(one)
+            return
+        if self._deciding:
+            raise RuntimeError("the module was called within a call")
+        self._deciding = True
+        try:
+            self._carry_out(call(self._control, self.clock(), *values))
+        except Exception as error:
+            self.fail(error)
+        finally:
+            self._deciding = False
+
+    def _carry_out(self, result: Result) -> None:
+        """Outward words first, so that answers of the same result carry them; then the table; then the changes."""
+        if result.said is not None:
+            self.said = result.said
+        if result.health is not None and result.health.good is not self.healthy:
+            self.healthy = result.health.good
+            self.log.info("health", good=self.healthy)
+            self._tell_change()
+        if result.idle_ms is not None:
+            self.idle_ms = result.idle_ms
+        for entry in result.table:
+            self._remember(entry)
+        for change in result.changes:
+            self._change_of(change)
+        if result.wake_in_ms is not None:
+            wake = self.clock() + result.wake_in_ms
+            if wake < self._wake:
+                self._wake = wake
+                self._wake_moved.set()
+
+    def _remember(self, entry: Remembrance) -> None:
+        one = self.transactions.get(entry.id)
+        if one is not None:
+            self.table.remember(one, entry.span_ms)
+
+    def _change_of(self, change: Change) -> None:
+        one = self.transactions.get(change.id)
+        if one is not None:
+            one.carry_out(self, change)
+            self._tell_change()
+
+    async def _timer(self) -> None:
+        """Call the module when it asked for it, with gauges that were asked for a tick before."""
+        while True:
+            while self.clock() < self._wake - self.settings.tick_ms:
+                await self._until(self._wake - self.settings.tick_ms)
+            self.workers.ask_gauges()
+            while self.clock() < self._wake:
+                await self._until(self._wake)
+            self._wake = inf
+            self._decide(Control.timer, self.workers.take_gauges() or Gauges())
+            self.table.purge()
+            if self.idle_ms is not None:
+                for front in self.fronts:
+                    front.trim(self.idle_ms)
+
+    async def _until(self, at: float) -> None:
+        """Wait for a moment, or until the wake is moved."""
+        left = at - self.clock()
+        if left > 0:
+            self._wake_moved = anyio.Event()
+            with anyio.move_on_after(None if left == inf else left / 1000):
+                await self._wake_moved.wait()
--- /dev/null
+++ b/nickelslip/server/streams.py
@@ -0,0 +1,211 @@
+"""Sockets as this server uses them: non-blocking streams over a pool of buffers of one size.
+
+Owns reading into a pooled buffer, writing at once with what does not fit kept in pooled buffers, and the end of a
+stream. A write never waits, so that what was decided leaves before anything else is. It must never know a
+protocol, and never hold more than the pool's bound.
+"""
+
+from __future__ import annotations
+
+import os
+import socket
+from collections import deque
+from math import inf
+from typing import TYPE_CHECKING
+
+import anyio
+from anyio.abc import TaskGroup
+
+from nickelslip.server.endings import Ended, Ending
+
+if TYPE_CHECKING:
+    from nickelslip.server.node import Node
+
+SIZE = 16 * 1024
+CONNECT_S = 1.0
+
+
+class Buffers:
+    """The pool: buffers are made on demand up to the bound, and used again."""
+
+    def __init__(self, most: int) -> None:
+        self._free: list[bytearray] = []
+        self._left = most
+
+    def take(self) -> bytearray:
+        if self._free:
+            return self._free.pop()
+        if not self._left:
+            raise Ended(Ending.SHED, "no buffer is left")
+        self._left -= 1
+        return bytearray(SIZE)
+
+    def give(self, buffer: bytearray) -> None:
+        self._free.append(buffer)
+
+
+class Stream:
+    """One connected socket. data[start:end] is what was read and not yet taken."""
+
+    def __init__(self, sock: socket.socket, buffers: Buffers, tasks: TaskGroup, stall_ms: float,
+                 backlog_most: int) -> None:
+        sock.setblocking(False)
+        if sock.family in (socket.AF_INET, socket.AF_INET6):
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._sock, self._buffers, self._tasks = sock, buffers, tasks
+        self._stall_s, self._backlog_most = stall_ms / 1000, backlog_most
+        self.data: bytearray | None = None
+        self.start = self.end = 0
+        self._out: deque[tuple[bytearray, int]] = deque()  # full ones but the last, and how much each holds
+        self._out_from = 0
+        self._room = anyio.Event()
+        self.ending: Ending | None = None
+
+    # Reading
+
+    async def fill(self) -> None:
+        """Wait until more was read; a buffer is held only while something in it is unfinished."""
+        if self.ending:
+            raise Ended(self.ending)
+        with anyio.move_on_after(self._stall_s if self.data is not None and self._stall_s < inf else None) as wait:
+            await self._until(anyio.wait_readable)
+        if wait.cancelled_caught:
+            raise Ended(Ending.STALLED, "half a message")
+        if self.ending:
+            raise Ended(self.ending)
+        if self.data is None:
+            self.data, self.start, self.end = self._buffers.take(), 0, 0
+        elif self.start:
+            left = self.end - self.start
+            self.data[:left] = self.data[self.start:self.end]
+            self.start, self.end = 0, left
+        if self.end == SIZE:
+            raise Ended(Ending.GARBLED, "a message over the size of a buffer")
+        try:
+            count = self._sock.recv_into(memoryview(self.data)[self.end:])
+        except (BlockingIOError, InterruptedError):
+            count = -1
+        except OSError as error:
+            raise Ended(Ending.RESET, error.strerror or "") from None
+        if not count:
+            raise Ended(Ending.CLOSED)
+        self.end += max(count, 0)
+        self.take(0)
+
+    def take(self, upto: int) -> None:
+        """All before `upto` has been understood."""
+        self.start = max(self.start, upto)
+        if self.data is not None and self.start == self.end:
+            self._buffers.give(self.data)
+            self.data, self.start, self.end = None, 0, 0
+
+    async def room(self) -> None:
+        """Wait until the other side has read most of what it was sent."""
+        while len(self._out) * SIZE > self._backlog_most and not self.ending:
+            self._room = anyio.Event()
+            await self._room.wait()
+
+    async def _until(self, ready: object) -> None:
+        try:
+            await ready(self._sock)  # type: ignore[operator]
+        except (anyio.ClosedResourceError, OSError, ValueError):
+            raise Ended(self.ending or Ending.RESET) from None
+
+    # Writing
+
+    def write(self, data: bytes) -> None:
+        """Send at once what the socket takes; the rest follows from the backlog. Of an end the reader hears."""
+        if self.ending:
+            return
+        sent = 0
+        if not self._out:
+            try:
+                sent = self._sock.send(data)
+            except (BlockingIOError, InterruptedError):
+                sent = 0
+            except OSError:
+                self.end_with(Ending.RESET)
+                return
+        if sent < len(data):
+            if not self._out:
+                self._tasks.start_soon(self._flush)
+            self._keep(memoryview(data)[sent:])
+
+    def _keep(self, rest: memoryview) -> None:
+        while rest:
+            if not self._out or self._out[-1][1] == SIZE:
+                try:
+                    self._out.append((self._buffers.take(), 0))
+                except Ended as ended:
+                    self.end_with(ended.ending)
+                    return
+            buffer, held = self._out[-1]
+            count = min(len(rest), SIZE - held)
+            buffer[held:held + count] = rest[:count]
+            self._out[-1] = buffer, held + count
+            rest = rest[count:]
+
+    async def _flush(self) -> None:
+        try:
+            while self._out and not self.ending:
+                with anyio.fail_after(self._stall_s if self._stall_s < inf else None):
+                    await self._until(anyio.wait_writable)
+                if self.ending:
+                    return
+                buffer, held = self._out[0]
+                try:
+                    self._out_from += self._sock.send(memoryview(buffer)[self._out_from:held])
+                except (BlockingIOError, InterruptedError):
+                    continue
+                if self._out_from == held:
+                    self._buffers.give(self._out.popleft()[0])
+                    self._out_from = 0
+                    self._room.set()
+        except TimeoutError:
+            self.end_with(Ending.STALLED)
+        except (Ended, OSError):
+            self.end_with(Ending.RESET)
+
+    @property
+    def all_sent(self) -> bool:
+        return not self._out
+
+    # The end
+
+    def end_with(self, ending: Ending) -> None:
+        """End the stream; whoever reads it hears of the ending. Only the first one counts."""
+        if self.ending:
+            return
+        self.ending = ending
+        anyio.notify_closing(self._sock)
+        self._sock.close()
+        for buffer, _ in self._out:
+            self._buffers.give(buffer)
+        self._out.clear()
+        self._room.set()
+        if self.data is not None:
+            self._buffers.give(self.data)
+            self.data, self.start, self.end = None, 0, 0
+
+
+async def connect(address: tuple[str, int], node: Node, backlog_most: int, patient: bool = False) -> Stream:
+    """A stream to the address. A patient one may stand still for ever half way through what it reads."""
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        sock.setblocking(False)
+        try:
+            sock.connect(address)
+        except BlockingIOError:
+            with anyio.fail_after(CONNECT_S):
+                await anyio.wait_writable(sock)
+            error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if error:
+                raise OSError(error, os.strerror(error)) from None
+    except (OSError, TimeoutError) as error:
+        sock.close()
+        raise Ended(Ending.REFUSED, str(error)) from None
+    except BaseException:
+        sock.close()
+        raise
+    return Stream(sock, node.buffers, node.tasks, inf if patient else node.stall_ms, backlog_most)
--- /dev/null
+++ b/nickelslip/server/transactions.py
@@ -0,0 +1,207 @@
+"""One transaction, from its reading to the end of all that is done for it.
+
+Owns the transaction's state, the mailbox in which what happens to it arrives, and its life, which reads from top to
+bottom in live(). It is the same for every front: a front says how an answer is written and starts live() in a task.
+It must never decide: what becomes of a transaction is a change that the module ordered, carried out here at once.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from math import inf
+from typing import TYPE_CHECKING, NamedTuple
+
+import anyio
+
+from nickelslip.admission.interface import Arrival, Change, Outcome, State
+from nickelslip.server.endings import CALL_GIVEN_UP
+
+if TYPE_CHECKING:
+    from nickelslip.server.node import Node
+
+FINAL = (State.SATISFIED, State.DISMISSED, State.FORFEITED, State.ABANDONED)
+MAIL_MOST = 64  # what the worker pool and the records may have to say of one transaction at once
+
+
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """A transaction as a front read it, every field checked."""
+
+    ident: str
+    grade: str
+    body: bytes
+    reached: float  # when it came to the machine, in Unix milliseconds
+    kb: float
+    customer: str | None = None
+    wait_ms: float | None = None
+    cost_hint_ms: float | None = None
+    again: bool = False
+    caller: int | None = None
+    mark: str | None = None  # by which a repeat, or a read of the same subject, is known
+
+    def arrival(self, number: int, now: float, forerunner: int | None) -> Arrival:
+        return Arrival(
+            id=number, grade=self.grade, kb=self.kb, customer=self.customer,
+            due_ms=None if self.wait_ms is None else self.reached + self.wait_ms, cost_hint_ms=self.cost_hint_ms,
+            again=self.again, caller=self.caller, unread_ms=max(0.0, now - self.reached), forerunner=forerunner,
+            marked=self.mark is not None)
+
+
+class Answer(NamedTuple):
+    """What a caller is told; `said` rides on every answer."""
+
+    state: State
+    said: float | None
+    body: bytes = b""
+    stay_away_ms: float = 0.0
+    last: bool = False
+
+
+class Blocked(NamedTuple):
+    """Its run stands at a call."""
+
+    seq: int
+    body: bytes
+
+
+class Returned(NamedTuple):
+    """Its call has ended."""
+
+    outcome: Outcome
+    body: bytes = b""
+
+
+class Finished(NamedTuple):
+    """Its run, or its joining of a forerunner, is over."""
+
+    outcome: Outcome
+    took_ms: float
+    body: bytes = b""
+
+
+class Gone(NamedTuple):
+    """Its caller has given it up."""
+
+
+Happening = Blocked | Returned | Finished | Gone
+
+
+class Transaction:
+    """What this server knows of one transaction."""
+
+    def __init__(self, asked: Asked, answer: Callable[[Answer], None]) -> None:
+        self.asked, self.number = asked, int(asked.ident, 16)
+        self.state = State.HELD
+        self.answered = self.gone = False
+        self.run_out = False  # the worker pool has a run of it that has not ended
+        self.heard = False  # the worker pool has told something of that run
+        self.call = Blocked(0, b"")  # the call at which its run stands, or last stood
+        self.call_until, self.call_since, self.joined_since = inf, 0.0, 0.0
+        self.joiners: list[Transaction] = []
+        self._answer = answer
+        self._mail: deque[Happening] = deque()
+        self._bell: anyio.Event | None = None
+
+    def enter(self, state: State) -> None:
+        """The one place where it changes its state; a run that is still out keeps it from its end."""
+        if self.state not in FINAL:
+            self.state = State.SPENT if state in FINAL and self.run_out else state
+
+    def answer(self, answer: Answer) -> None:
+        """Answer, once, unless nobody waits any more."""
+        if not self.answered and not self.gone:
+            self.answered = True
+            self._answer(answer)
+
+    def post(self, happening: Happening) -> None:
+        if len(self._mail) < MAIL_MOST:
+            self._mail.append(happening)
+        self.nudge()
+
+    def nudge(self) -> None:
+        if self._bell is not None:
+            self._bell.set()
+
+    async def next(self, wait_ms: float) -> Happening | None:
+        """What happens to it next; None when the time is up or its state was changed from elsewhere."""
+        if not self._mail:
+            self._bell = anyio.Event()
+            with anyio.move_on_after(None if wait_ms == inf else max(0.0, wait_ms) / 1000):
+                await self._bell.wait()
+        return self._mail.popleft() if self._mail else None
+
+    # The module's orders
+
+    def carry_out(self, node: Node, change: Change) -> None:
+        """One change that the module decided: it is written out before this returns."""
+        calling = self.state is State.CALLING
+        match change.state:
+            case State.RUNNING:
+                self.run_out, self.heard = True, False
+                self.enter(State.RUNNING)
+                node.workers.start(self)
+            case State.HELD | State.PAUSED | State.SPENT:
+                if self.run_out:
+                    node.workers.stop(self)
+            case State.CALLING:
+                self.enter(State.CALLING)
+                self.call_since, self.call_until = node.clock(), node.clock() + change.span_ms
+                node.records.call(self, change.span_ms)
+            case State.OMITTED:
+                self.enter(State.OMITTED)
+                node.workers.go_on(self)
+            case State.JOINED:
+                self.enter(State.JOINED)
+                self.joined_since = node.clock()
+                node.table.join(self)
+            case State.DISMISSED | State.FORFEITED:
+                if calling:
+                    node.records.give_up(self)
+                self.answer(Answer(change.state, node.said, b"", change.span_ms, change.last))
+                self.enter(change.state)
+        self.nudge()
+
+
+async def live(node: Node, one: Transaction) -> None:
+    """The life of one transaction. Every call of the module carries its orders out before it returns."""
+    node.read(one)
+    while one.state not in FINAL:
+        happening = await one.next(one.call_until - node.clock() if one.state is State.CALLING else inf)
+        if happening is None and one.state is State.CALLING and node.clock() >= one.call_until:
+            node.records.give_up(one)
+            happening = Returned(CALL_GIVEN_UP)
+        match happening:
+            case Blocked():
+                one.heard, one.call = True, happening
+                if one.state in (State.RUNNING, State.OMITTED):
+                    one.enter(State.AT_CALL)
+                node.at_call(one)
+            case Returned(outcome, body) if one.state is State.CALLING:
+                if outcome is Outcome.OK:
+                    one.enter(State.RUNNING)
+                    node.workers.supply(one, body)
+                else:
+                    one.enter(State.AT_CALL)
+                node.call_returned(one, outcome, node.clock() - one.call_since)
+            case Finished(outcome, took_ms, body):
+                if one.state is State.CALLING:
+                    node.records.give_up(one)
+                one.run_out = False
+                if outcome is Outcome.CANCELLED and one.state in (State.RUNNING, State.OMITTED):
+                    one.enter(State.HELD)  # off the cores, its answer still owed
+                    node.ended(one, outcome, took_ms)
+                    continue
+                node.ended(one, outcome, took_ms)
+                end = State.SATISFIED if outcome is Outcome.OK else State.FORFEITED
+                one.answer(Answer(end, node.said, body))
+                one.enter(end)
+                node.table.settle(one, outcome, body)
+            case Gone() if one.state not in (State.SPENT, *FINAL):
+                if one.state is State.CALLING:
+                    node.records.give_up(one)
+                one.gone = True
+                one.enter(State.ABANDONED)
+                node.caller_gone(one)
+    node.table.settle(one, Outcome.CANCELLED)
--- /dev/null
+++ b/nickelslip/server/workers.py
@@ -0,0 +1,218 @@
+"""The link to the worker pool.
+
+Owns the one connection on which runs are started, stopped and led past their calls, the number of the last notice
+read, and which commands are proven to have got there. A lost link is taken up again where the last notice left off;
+each notice counts once. It must never repeat a command that may have had an effect which must not come twice, and
+it does not judge what a run's end means: that goes to the transaction.
+"""
+
+from __future__ import annotations
+
+import json
+from base64 import b64decode, b64encode
+from collections import deque
+from enum import Enum
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import anyio
+
+from nickelslip.admission.interface import Gauges, Repeat, State, Stopping
+from nickelslip.server.endings import NOT_CARRIED_OUT, RUN_ENDS, Ended, Ending
+from nickelslip.server.streams import Stream, connect
+from nickelslip.server.transactions import FINAL, Blocked, Finished, Transaction
+
+if TYPE_CHECKING:
+    from nickelslip.server.node import Node
+
+PAUSE_MS, PAUSE_MOST_MS = 20.0, 500.0  # between tries to connect, doubled up to the second
+BACKLOG_MOST = 1 << 20
+UNPROVEN_MOST = 4096
+GAUGES = {"cpu_busy": "busy", "runnable": "wanting", "mem_used": "memory", "sockets": "connections"}
+
+
+class Link(Enum):
+    """The state of the link."""
+
+    DOWN = "there is none; commands wait"
+    BINDING = "connected, and waiting for the worker pool to be up"
+    RESUMING = "notices that were missed are being read; commands wait"
+    UP = "commands go out at once"
+
+
+class Command(NamedTuple):
+    """Something told to the worker pool: a transaction's command, or with none a question for the gauges."""
+
+    op: str
+    one: Transaction | None
+    fields: dict[str, Any]
+
+
+class Workers:
+    """The worker pool, as this server reaches it."""
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+        self._link, self._stream = Link.DOWN, None  # type: Link, Stream | None
+        self._seq = 0  # of the last notice read
+        self._tag, self._fence = 0, ""
+        self._doubtful: list[Command] = []  # written on a link that was lost
+        self._gauges: Gauges | None = None
+        self._waiting: deque[Command] = deque()  # never written: a transaction has few, and few are in hand
+        self._unproven: deque[Command] = deque(maxlen=UNPROVEN_MOST)  # written, and not yet known to have got there
+        self._halts = node.settings.stopping is not Stopping.NEVER
+        self._grades = {grade.name: grade for grade in node.settings.grades}
+
+    # What is told to the worker pool
+
+    def start(self, one: Transaction) -> None:
+        self._tell(Command("spawn", one, {"class": one.asked.grade, "body": b64encode(one.asked.body).decode()}))
+
+    def stop(self, one: Transaction) -> None:
+        if self._halts:
+            self._tell(Command("suspend", one, {}))
+
+    def supply(self, one: Transaction, body: bytes) -> None:
+        self._tell(Command("supply", one, {"body": b64encode(body).decode()}))
+
+    def go_on(self, one: Transaction) -> None:
+        """Without the call at which the run stands."""
+        self._tell(Command("pass", one, {"seq": one.call.seq}))
+
+    def ask_gauges(self) -> None:
+        if self._link is Link.UP:
+            self._tag += 1
+            self._write(Command("poll", None, {"tag": str(self._tag)}))
+
+    def take_gauges(self) -> Gauges | None:
+        """The gauges that have come since they were last taken."""
+        gauges, self._gauges = self._gauges, None
+        return gauges
+
+    def _tell(self, command: Command) -> None:
+        if self._link is Link.UP:
+            self._write(command)
+        else:
+            self._waiting.append(command)
+
+    def _write(self, command: Command) -> None:
+        ident = {} if command.one is None else {"id": command.one.asked.ident}
+        line = json.dumps({"op": command.op, **ident, **command.fields}, separators=(",", ":")) + "\n"
+        self._unproven.append(command)
+        if self._stream is not None:
+            self._stream.write(line.encode())
+
+    # The link
+
+    async def run(self) -> None:
+        """Keep the link, and take it up again when it is lost."""
+        pause = PAUSE_MS
+        while True:
+            try:
+                self._stream = await connect(self._node.config.pool, self._node, BACKLOG_MOST, patient=True)
+                self._enter(Link.BINDING)
+                self._stream.write(b'{"op":"bind","seq":%d}\n' % self._seq)
+                await self._read(self._stream)
+            except Ended as ended:
+                if self._link is not Link.DOWN:
+                    pause = PAUSE_MS
+                    self._node.log.warning("worker pool link ended", ending=ended.ending.name, detail=ended.detail)
+                if self._stream is not None:
+                    self._stream.end_with(ended.ending)
+                    self._stream = None
+                self._enter(Link.DOWN)
+            await anyio.sleep(pause / 1000)
+            pause = min(2 * pause, PAUSE_MOST_MS)
+
+    def _enter(self, link: Link) -> None:
+        """The one place where the link changes its state."""
+        if self._link is not link:
+            self._node.log.info("worker pool", link=link.name, waiting=len(self._waiting))
+        self._link = link
+
+    async def _read(self, stream: Stream) -> None:
+        while True:
+            await stream.fill()
+            while stream.data is not None:
+                stop = stream.data.find(b"\n", stream.start, stream.end)
+                if stop < 0:
+                    break
+                line = bytes(stream.data[stream.start:stop])
+                stream.take(stop + 1)
+                if line.strip():
+                    self._notice(line)
+
+    def _notice(self, line: bytes) -> None:
+        try:
+            told = json.loads(line)
+            op, ident = told["op"], told.get("id")
+            if "seq" in told:
+                if int(told["seq"]) <= self._seq:
+                    return  # read before
+                if int(told["seq"]) > self._seq + 1:
+                    self._node.log.error("notices lost", after=self._seq, before=told["seq"])
+                self._seq = int(told["seq"])
+            one = self._node.transactions.get(int(ident, 16)) if ident else None
+            if op == "finished" and one is not None:
+                body = b64decode(told.get("body") or "")
+                one.post(Finished(RUN_ENDS[told["end"]], float(told["ms"]), body))
+            elif op == "blocked" and one is not None:
+                one.post(Blocked(self._seq, b64decode(told.get("body") or "")))
+            elif op == "polled":
+                self._polled(str(told["tag"]), told["values"])
+            elif op == "bound":
+                self._bound(str(told["end"]), float(told["ms"]))
+            elif op == "unknown":
+                self._unknown(str(told["end"]), one)
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            raise Ended(Ending.GARBLED, f"{error!r} in {line[:100]!r}") from None
+
+    def _bound(self, end: str, ago_ms: float) -> None:
+        self._node.log.info("worker pool bound", was=end, ago_ms=ago_ms, resumed_after=self._seq)
+        self._enter(Link.RESUMING)
+        self._tag += 1
+        self._fence = str(self._tag)
+        doubtful = [command for command in self._unproven if command.one is not None]
+        self._unproven.clear()
+        self._write(Command("poll", None, {"tag": self._fence}))
+        self._doubtful = doubtful
+        if not doubtful:
+            self._resume()
+        self._node.workers_up(ago_ms)
+
+    def _resume(self) -> None:
+        """All that was missed has been read: repeat what may be repeated, then go on with what waited."""
+        self._enter(Link.UP)
+        waiting, self._waiting = self._waiting, deque()
+        for command in self._doubtful:
+            if self._may_repeat(command):
+                self._write(command)
+        for command in waiting:
+            if command.one is not None and command.one.run_out:
+                self._write(command)
+        self._fence, self._doubtful = "", []
+
+    def _may_repeat(self, command: Command) -> bool:
+        """Of what may have been lost with a link: a start of which nothing was heard, where a second run does no
+        harm, and leave to go on, which names its notice. The rest may have got there, and is not repeated."""
+        one = command.one
+        if one is None or not one.run_out or one.state in FINAL:
+            return False
+        if command.op == "spawn":
+            return not one.heard and self._grades[one.asked.grade].repeat is Repeat.REPLAYABLE
+        return command.op == "pass" and one.state is State.OMITTED and command.fields["seq"] == one.call.seq
+
+    def _polled(self, tag: str, values: list[Any]) -> None:
+        while self._unproven:  # what was written before the question got there before it
+            command = self._unproven.popleft()
+            if command.op == "poll" and command.fields["tag"] == tag:
+                break
+        if tag == self._fence:
+            self._resume()
+        read = {GAUGES[name]: float(value) for name, value in zip(self._node.config.gauges, values, strict=False)
+                if name in GAUGES and value is not None}
+        self._gauges = Gauges(**read)
+
+    def _unknown(self, command: str, one: Transaction | None) -> None:
+        self._node.log.warning("command not carried out", command=command, known=one is not None)
+        if one is not None and command == "spawn":
+            one.post(Finished(NOT_CARRIED_OUT, 0.0))
--- /dev/null
+++ b/nickelslip/settings.py
@@ -0,0 +1,151 @@
+"""The one decoder of a server's settings: JSON as it is told to Settings, checked, with the fault named.
+
+The bench's adapter and the real server both read their settings here, so that one module sees the same figures
+in both. It only decodes: it opens no file, imports nothing beyond the standard library and chooses no value.
+"""
+
+from __future__ import annotations
+
+import json
+import math
+from collections.abc import Mapping
+from typing import Any, TypeVar
+
+from nickelslip.admission.interface import Customer, Grade, Repeat, Said, Settings, Stopping
+
+T = TypeVar("T")
+
+REPEATS = {
+    "read_like": Repeat.REPLAYABLE,
+    "idempotency_key": Repeat.REFERENCED,
+    "non_idempotent": Repeat.SINGLE_USE,
+}
+STOPPINGS = {"silent": Stopping.NEVER, "drop": Stopping.DROP, "pause": Stopping.PAUSE}
+SAID = {"silent": Said.NOTHING, "bias": Said.CHANCE, "tokens": Said.SLOTS, "min_rank": Said.RANK}
+
+
+class Malformed(Exception):
+    """Settings that cannot be understood; the text names the field."""
+
+
+class Fields:
+    """One JSON object, read field by field; a fault names the whole path of its field."""
+
+    def __init__(self, value: object, path: str) -> None:
+        if not isinstance(value, Mapping):
+            raise Malformed(f"{path or 'settings'}: an object is needed")
+        self._value: Mapping[str, Any] = value
+        self._path = path
+
+    def _at(self, name: str) -> str:
+        return f"{self._path}.{name}" if self._path else name
+
+    def inside(self, name: str, needed: bool = True) -> Fields:
+        return Fields(self._value.get(name) if needed else self._value.get(name) or {}, self._at(name))
+
+    def number(self, name: str, default: float | None = None, least: float = 0.0, most: float = math.inf,
+               above: bool = False) -> float:
+        """A number between least and most, and over least where `above` says so; null counts as absent."""
+        value = self._value.get(name)
+        if value is None and default is not None:
+            return default
+        if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+            raise Malformed(f"{self._at(name)}: a number is needed")
+        if not least <= value <= most or (above and value == least):
+            raise Malformed(f"{self._at(name)}: {value} is out of range")
+        return float(value)
+
+    def whole(self, name: str, default: int | None = None, least: int = 1) -> int:
+        value = self.number(name, default, least)
+        if value != int(value):
+            raise Malformed(f"{self._at(name)}: a whole number is needed")
+        return int(value)
+
+    def flag(self, name: str) -> bool:
+        value = self._value.get(name, False)
+        if value not in (True, False, None):
+            raise Malformed(f"{self._at(name)}: true or false is needed")
+        return bool(value)
+
+    def text(self, name: str) -> str:
+        value = self._value.get(name)
+        if not isinstance(value, str) or not value:
+            raise Malformed(f"{self._at(name)}: a text is needed")
+        return value
+
+    def one_of(self, name: str, known: Mapping[str, T], default: str | None = None) -> T:
+        value = self._value.get(name, default)
+        if not isinstance(value, str) or value not in known:
+            raise Malformed(f"{self._at(name)}: one of {', '.join(known)} is needed")
+        return known[value]
+
+    def each(self, name: str, needed: bool = True) -> list[Fields]:
+        value = self._value.get(name)
+        if not isinstance(value, list) and (needed or value is not None):
+            raise Malformed(f"{self._at(name)}: a list is needed")
+        if needed and not value:
+            raise Malformed(f"{self._at(name)}: the list is empty")
+        return [Fields(each, f"{self._at(name)}[{at}]") for at, each in enumerate(value or [])]
+
+    def values(self, name: str) -> list[Any]:
+        value = self._value.get(name) or []
+        if not isinstance(value, list):
+            raise Malformed(f"{self._at(name)}: a list is needed")
+        return value
+
+
+def settings_from(text: str) -> Settings:
+    """Settings from the text of a JSON object."""
+    try:
+        value = json.loads(text)
+    except ValueError as error:
+        raise Malformed(f"settings: not JSON: {error}") from error
+    return settings_of(value)
+
+
+def gauge_names(value: object) -> tuple[str, ...]:
+    """The names of the gauges, in the order in which the worker pool gives them."""
+    return tuple(str(name) for name in Fields(value, "settings").inside("specifics").values("own-stats"))
+
+
+def settings_of(value: object) -> Settings:
+    """Settings from a decoded JSON object; unknown keys are passed over."""
+    info = Fields(value, "settings")
+    facts, rules = info.inside("specifics"), info.inside("invariants")
+    bounds, habits = info.inside("bounds", False), info.inside("client-habits", False)
+    calls_are = facts.one_of("below", {name: name for name in ("common", "next_hop", "silent")}, "silent")
+    known_calls, omit_shares = facts.values("class-calls"), facts.values("class-skip-worth")
+    grades = tuple(
+        Grade(
+            name=each.text("name"), credit=each.number("gain"), quoted_ms=each.number("aim-ms", above=True),
+            abandon_ms=each.number("deadline-ms", above=True), repeat=each.one_of("idempotency", REPEATS),
+            window_ms=each.number("memory-span-ms", 0.0), late_share=each.number("late-worth", 0.0),
+            stretch=each.number("aim-stretch", 0.0),
+            calls=calls_are != "silent" and (bool(known_calls[at]) if at < len(known_calls) else True),
+            omit_share=_share(omit_shares[at], at) if at < len(omit_shares) else 0.0,
+        )
+        for at, each in enumerate(info.each("classes"))
+    )
+    return Settings(
+        grades=grades, cores=facts.whole("cpus"), memory_kb=facts.number("memory-kb", above=True),
+        run_factor=facts.number("run-factor", least=1.0), cold=facts.flag("cold"),
+        cold_from=rules.number("cold-from", most=1.0), cold_ms=rules.number("cold-ms", above=True),
+        crowd_multiple=rules.number("fall-multiple", least=1.0), answer_slack_ms=rules.number("answer-slack-ms"),
+        drain_grace_ms=rules.number("stop-sending-within-ms"), tick_ms=info.number("tick-ms", above=True),
+        servers=info.whole("servers", 1, 0) or 1, callers=facts.whole("callers", 1, 0) or 1,
+        customers=tuple(Customer(each.text("name"), each.number("quota-rps", 0.0))
+                        for each in info.each("tenants", needed=False)),
+        beyond_share_worth=info.number("over-share-worth", 1.0),
+        counted_by_work=info.one_of("counted-by", {"work": True, "request": False}, "request"),
+        marks_again=habits.flag("marks-retry"),
+        stopping=facts.one_of("stop-mode", STOPPINGS, "silent"), said=facts.one_of("say", SAID, "silent"),
+        advice_max_ms=bounds.number("max-retry-after-ms", 0.0) if bounds.flag("retry-after") else 0.0,
+        call_share=facts.number("dep-share", 0.0) if calls_are == "common" else 0.0,
+        call_span_ms=facts.number("calls-over-ms", 0.0), call_linger_ms=facts.number("stays-for-ms", 0.0),
+        entry_kb=facts.number("kb-per-key", 0.0), fresh_ms=facts.number("fresh-ms", 0.0),
+        idle_ms=facts.number("idle-ms", 0.0), checks_work=facts.flag("real-checks"),
+    )
+
+
+def _share(value: object, at: int) -> float:
+    return Fields({"share": value}, f"settings.specifics.class-skip-worth[{at}]").number("share", 0.0)
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -6,8 +6,8 @@
 import pytest
 
 from nickelslip.admission.control import Control
-from nickelslip.bench import codec
 from nickelslip.bench.adapter import main
+from nickelslip.settings import settings_from
 
 INFO = {
     "bounds": {"max-retry-after-ms": 1000.0, "retry-after": True}, "unknown": 1,
@@ -73,5 +73,5 @@
 
 
 def test_settings_keep_their_meaning():
-    told = codec.settings_from(json.dumps(INFO))
+    told = settings_from(json.dumps(INFO))
     assert (told.call_share, told.grades[0].calls, told.advice_max_ms, told.customers) == (2.0, True, 1000.0, ())
