The toy answers in turn; stops are not queued without a link

Seen with the toy: with the worker pool gone, 184 stop commands waited, one a window for each answered run. The module asks again anyhow, so a stop without a link is passed over (workers.py, stop).

--- a/examples/toy.py
+++ b/examples/toy.py
@@ -29,6 +29,7 @@
 
     def __init__(self, tasks: anyio.abc.TaskGroup) -> None:
         self.tasks, self.cores, self.seq, self.replies = tasks, anyio.Semaphore(2), count(1), {}
+        self.telling = anyio.Lock()
 
     async def serve(self, stream: anyio.abc.SocketStream) -> None:
         held = b""
@@ -50,14 +51,17 @@
         async with self.cores:
             await anyio.sleep(RUN_S)
         self.replies[ident] = anyio.Event()
-        await self.tell(stream, op="blocked", seq=next(self.seq), id=ident, body=b64encode(b"look up").decode())
-        await self.replies.pop(ident).wait()
-        await self.tell(stream, op="finished", seq=next(self.seq), id=ident, end="fine",
+        await self.tell(stream, op="blocked", id=ident, body=b64encode(b"look up").decode())
+        await self.replies[ident].wait()
+        del self.replies[ident]
+        await self.tell(stream, op="finished", id=ident, end="fine",
                         ms=1000 * (time.monotonic() - begun), body=b64encode(body[::-1]).decode())
 
-    @staticmethod
-    async def tell(stream: anyio.abc.SocketStream, **line: object) -> None:
-        await stream.send(json.dumps(line).encode() + b"\n")
+    async def tell(self, stream: anyio.abc.SocketStream, **line: object) -> None:
+        async with self.telling:
+            if line["op"] in ("blocked", "finished"):
+                line["seq"] = next(self.seq)
+            await stream.send(json.dumps(line).encode() + b"\n")
 
 
 async def records(stream: anyio.abc.SocketStream) -> None:
--- a/nickelslip/server/workers.py
+++ b/nickelslip/server/workers.py
@@ -72,7 +72,8 @@
         self._tell(Command("spawn", one, {"class": one.asked.grade, "body": b64encode(one.asked.body).decode()}))
 
     def stop(self, one: Transaction) -> None:
-        if self._halts:
+        """Where runs can be stopped. Without a link it is passed over: the module asks again while a run goes on."""
+        if self._halts and self.up:
             self._tell(Command("suspend", one, {}))
 
     def supply(self, one: Transaction, body: bytes) -> None:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -260,6 +260,7 @@
 
     def __init__(self) -> None:
         super().__init__()
+        self.saying = anyio.Lock()
         self.seq, self.notices, self.up, self.measures, self.polls = 0, [], anyio.Event(), True, 0
 
     async def understand(self, held: bytes) -> bytes:
@@ -280,8 +281,9 @@
         return rest
 
     async def say(self, **line: object) -> None:
-        if self.stream is not None:
-            await self.stream.send(json.dumps(line).encode() + b"\n")
+        async with self.saying:
+            if self.stream is not None:
+                await self.stream.send(json.dumps(line).encode() + b"\n")
 
     async def tell(self, op: str, ident: str, **more: object) -> None:
         self.seq += 1
