A fault on one connection ends it alone; notices that cannot be read are passed over

A malformed or overlong notice broke the link, and the resumed link would bring the same notice again, without end: it is now logged and passed over. An error while a message was understood ended the whole server: now that connection ends with what it brought answered. A read whose kept result was let go is run anew instead of failed. A second interrupt leaves with code 1 and no traceback.

--- a/nickelslip/server/balancers.py
+++ b/nickelslip/server/balancers.py
@@ -127,9 +127,10 @@
             fault = ended
             if ended.ending in (Ending.GARBLED, Ending.STALLED):
                 await self._answer_the_rest()
-        except Exception as error:
+        except Exception as error:  # this connection alone ends, with all that it brought answered
             fault = Ended(Ending.FAULT, repr(error))
-            raise
+            self._node.log.error("balancer connection failed", error=repr(error), exc_info=error)
+            await self._answer_the_rest()
         finally:
             self.stream.end_with(fault.ending)
             for one in self._open.values():
@@ -168,23 +169,27 @@
         if verb == b"STATUS":
             self._send(tag, b"healthy" if self._node.healthy else b"sick", self._said(self._node.said))
         elif verb == b"ASK":
-            self._ask(tag, parts[2:])
+            try:
+                one = self._ask(tag, parts[2:])
+            except Exception:
+                self._answer(tag, Answer(State.FORFEITED, self._node.said))
+                raise
+            if one is None or not self._node.take(one):
+                self._answer(tag, Answer(State.FORFEITED, self._node.said))
         else:
-            self._send(tag, WORDS[State.FORFEITED], self._said(self._node.said))
+            self._answer(tag, Answer(State.FORFEITED, self._node.said))
 
-    def _ask(self, tag: int, parts: list[bytes]) -> None:
+    def _ask(self, tag: int, parts: list[bytes]) -> Transaction | None:
+        """The transaction that is asked for, open under its tag; None where it is not to be understood."""
         try:
             if len(self._open) >= OPEN_MOST:
                 raise BadField("more than may be open")
-            one = Transaction(asked_from(parts, self._front.repeats, self._front.customers),
-                              lambda answer: self._answer(tag, answer))
+            asked = asked_from(parts, self._front.repeats, self._front.customers)
         except BadField as bad:
             self._front.tell_bad(str(bad))
-            self._send(tag, WORDS[State.FORFEITED], self._said(self._node.said))
-            return
-        self._open[tag] = one
-        if not self._node.take(one):
-            one.answer(Answer(State.FORFEITED, self._node.said))
+            return None
+        one = self._open[tag] = Transaction(asked, lambda answer: self._answer(tag, answer))
+        return one
 
     def _answer(self, tag: int, answer: Answer) -> None:
         self._open.pop(tag, None)
--- a/nickelslip/server/node.py
+++ b/nickelslip/server/node.py
@@ -138,7 +138,10 @@
             while self._bytes > self._bytes_most:
                 old, size = self._kept.popitem(last=False)
                 self._bytes -= size
-                self._entries[old].result = None
+                if self._replayable(self._entries[old].holder):
+                    del self._entries[old]  # the next read of it simply runs
+                else:
+                    self._entries[old].result = None
         elif self._replayable(one):
             self._drop(mark)
 
@@ -189,14 +192,14 @@
     # Life
 
     async def run(self) -> bool:
-        """Serve until told to leave; whether it ended as it should."""
+        """Serve until told to leave; whether all was seen to its end."""
         async with anyio.create_task_group() as self.tasks:
             for part in (self._notices, self.workers.run, self.records.run, self.directory.run, self._timer,
                          *(front.serve for front in self.fronts)):
                 self.tasks.start_soon(self.guard, part)
             await self._leave_when_due()
             self.tasks.cancel_scope.cancel()
-        return self.phase is not Phase.FAILED
+        return self.phase is Phase.LEAVING
 
     async def _notices(self) -> None:
         """The notice to leave; a person at a terminal may insist with a second interrupt."""
@@ -204,7 +207,7 @@
             async for notice in notices:
                 self.log.info("notice", signal=signal.Signals(notice).name)
                 if notice == signal.SIGINT and self.phase not in (Phase.WAITING, Phase.SERVING):
-                    raise KeyboardInterrupt
+                    self.tasks.cancel_scope.cancel()
                 self.leave()
 
     async def guard(self, part: Callable[..., Any], *values: Any) -> None:
@@ -294,15 +297,14 @@
     # Transactions
 
     def take(self, one: Transaction) -> bool:
-        """A front has read this one; False where an id is in hand already. Its life goes on in a task."""
+        """A front has read this one, whose life goes on in a task. False where there is no module to decide, or its
+        id is in hand already: then the front answers it with a failure."""
         if one.number in self.transactions:
             return False
-        self.transactions[one.number] = one
         if self._control is None:
-            del self.transactions[one.number]
-            one.answer(Answer(State.FORFEITED, self.said))
-        else:
-            self.tasks.start_soon(self.guard, self._live, one)
+            return False
+        self.transactions[one.number] = one
+        self.tasks.start_soon(self.guard, self._live, one)
         return True
 
     async def _live(self, one: Transaction) -> None:
--- a/nickelslip/server/workers.py
+++ b/nickelslip/server/workers.py
@@ -2,8 +2,9 @@
 
 Owns the one connection on which runs are started, stopped and led past their calls, the number of the last notice
 read, and which commands are proven to have got there. A lost link is taken up again where the last notice left off;
-each notice counts once. It must never repeat a command that may have had an effect which must not come twice, and
-it does not judge what a run's end means: that goes to the transaction.
+each notice counts once, and one that cannot be read is passed over, since asked anew it would be the same. It must
+never repeat a command that may have had an effect which must not come twice, and it does not judge what a run's end
+means: that goes to the transaction.
 """
 
 from __future__ import annotations
@@ -17,8 +18,8 @@
 import anyio
 
 from nickelslip.admission.interface import Gauges, Repeat, State, Stopping
-from nickelslip.server.endings import NOT_CARRIED_OUT, RUN_ENDS, Ended, Ending
-from nickelslip.server.streams import Stream, connect
+from nickelslip.server.endings import NOT_CARRIED_OUT, RUN_ENDS, Ended
+from nickelslip.server.streams import SIZE, Stream, connect
 from nickelslip.server.transactions import FINAL, Blocked, Finished, Transaction
 
 if TYPE_CHECKING:
@@ -135,13 +136,19 @@
         self._link = link
 
     async def _read(self, stream: Stream) -> None:
+        too_long = False
         while True:
             await stream.fill()
             while stream.data is not None:
                 stop = stream.data.find(b"\n", stream.start, stream.end)
                 if stop < 0:
-                    break
-                line = bytes(stream.data[stream.start:stop])
+                    if stream.end - stream.start < SIZE:
+                        break
+                    too_long, stop = True, stream.end - 1  # passed over up to its end: asked anew it would be as long
+                    stream.take(stop + 1)
+                    continue
+                line = b"(over the size of a buffer)" if too_long else bytes(stream.data[stream.start:stop])
+                too_long = False
                 stream.take(stop + 1)
                 if line.strip():
                     self._notice(line)
@@ -169,7 +176,7 @@
             elif op == "unknown":
                 self._unknown(str(told["end"]), one)
         except (ValueError, KeyError, TypeError, AttributeError) as error:
-            raise Ended(Ending.GARBLED, f"{error!r} in {line[:100]!r}") from None
+            self._node.log.error("notice not understood", error=repr(error), line=repr(line[:100]))
 
     def _bound(self, end: str, ago_ms: float) -> None:
         self._node.log.info("worker pool bound", was=end, ago_ms=ago_ms, resumed_after=self._seq)
