--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -1,6 +1,7 @@
 """The real server over loopback sockets, among stand-ins, with bounded waits and no bench."""
 
 import errno
+import gc
 import json
 import os
 import signal
@@ -265,6 +266,25 @@
         assert await caller.ended()
 
 
+async def test_nothing_is_left_of_transactions_that_are_over():
+    async with Place() as place:
+        caller = await (await place.up()).caller()
+        caller.tag, sizes = 0, []
+        for number in range(1, 601):
+            ident = f"{number:016x}"
+            tag = await place.running(caller, ident, body=bytes(2048))
+            await place.pool.finish(ident, body=bytes(4096))
+            assert (await caller.answer())[0] == tag
+            place.pool.seen.clear()
+            place.pool.notices.clear()
+            if number in (200, 600):
+                gc.collect()
+                sizes.append(len(gc.get_objects()))
+        await until(lambda: not place.node.transactions)
+        assert sizes[1] - sizes[0] < 400  # one object for each transaction between would be too many
+        assert len(place.node.buffers._free) < 4
+
+
 # The worker pool
 
 
