--- a/nickelslip/server/balancers.py
+++ b/nickelslip/server/balancers.py
@@ -169,27 +169,27 @@
         if verb == b"STATUS":
             self._send(tag, b"healthy" if self._node.healthy else b"sick", self._said(self._node.said))
         elif verb == b"ASK":
+            taken = False
             try:
-                one = self._ask(tag, parts[2:])
-            except Exception:
-                self._answer(tag, Answer(State.FORFEITED, self._node.said))
-                raise
-            if one is None or not self._node.take(one):
-                self._answer(tag, Answer(State.FORFEITED, self._node.said))
+                taken = self._ask(tag, parts[2:])
+            except BadField as bad:
+                self._front.tell_bad(str(bad))
+            finally:
+                if not taken:
+                    self._answer(tag, Answer(State.FORFEITED, self._node.said))
         else:
             self._answer(tag, Answer(State.FORFEITED, self._node.said))
 
-    def _ask(self, tag: int, parts: list[bytes]) -> Transaction | None:
-        """The transaction that is asked for, open under its tag; None where it is not to be understood."""
-        try:
-            if len(self._open) >= OPEN_MOST:
-                raise BadField("more than may be open")
-            asked = asked_from(parts, self._front.repeats, self._front.customers)
-        except BadField as bad:
-            self._front.tell_bad(str(bad))
-            return None
-        one = self._open[tag] = Transaction(asked, lambda answer: self._answer(tag, answer))
-        return one
+    def _ask(self, tag: int, parts: list[bytes]) -> bool:
+        """Whether the transaction that is asked for has been taken; its life then goes on in a task."""
+        if len(self._open) >= OPEN_MOST:
+            raise BadField("more than may be open")
+        asked = asked_from(parts, self._front.repeats, self._front.customers)
+        one = Transaction(asked, lambda answer: self._answer(tag, answer))
+        if self._node.take(one):
+            self._open[tag] = one
+            return True
+        return False
 
     def _answer(self, tag: int, answer: Answer) -> None:
         self._open.pop(tag, None)
@@ -264,11 +264,7 @@
 
     def _accept(self) -> bool:
         """Take all connections that wait; whether there were more than descriptors."""
-        short = False
-        while not short:
-            if len(self._connections) >= self._most:
-                short = True
-                break
+        while not (short := len(self._connections) >= self._most):
             try:
                 sock, _ = self._listener.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
--- a/nickelslip/server/cli.py
+++ b/nickelslip/server/cli.py
@@ -10,8 +10,10 @@
 import os
 import select
 import sys
+from collections.abc import MutableMapping
 from importlib.metadata import PackageNotFoundError
 from importlib.metadata import version as installed
+from typing import Any
 
 import anyio
 import click
@@ -50,11 +52,18 @@
     debug = info = warning = error = critical = exception = msg
 
 
+def _shorten(_logger: Any, _name: str, line: MutableMapping[str, Any]) -> MutableMapping[str, Any]:
+    """Keep the end of a traceback, which names the cause, within what one line holds."""
+    if "exception" in line:
+        line["exception"] = str(line["exception"])[-LINE_MOST // 2:]
+    return line
+
+
 def set_up_logging(descriptor: int) -> None:
     lines = Lines(descriptor)
     structlog.configure(
         processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso"),
-                    structlog.processors.format_exc_info, structlog.processors.JSONRenderer()],
+                    structlog.processors.format_exc_info, _shorten, structlog.processors.JSONRenderer()],
         logger_factory=lambda *_: lines, wrapper_class=structlog.BoundLogger, cache_logger_on_first_use=True)
 
 
--- a/nickelslip/server/node.py
+++ b/nickelslip/server/node.py
@@ -267,8 +267,9 @@
         while self.phase in (Phase.WAITING, Phase.SERVING):
             await self._change()
         if self.phase is Phase.DRAINING:
-            grace = self.settings.drain_grace_ms + self.settings.answer_slack_ms
-            with anyio.move_on_after(grace / 1000):
+            slack = self.settings.answer_slack_ms
+            until_ms = min(self.settings.drain_grace_ms + slack, self.config.stop_ms - 2 * slack)
+            with anyio.move_on_after(max(until_ms, 0.0) / 1000):
                 while self.phase is Phase.DRAINING:
                     await self._change()
         while self.phase is Phase.DRAINING and any(
--- a/nickelslip/server/records.py
+++ b/nickelslip/server/records.py
@@ -37,7 +37,8 @@
 
     def __init__(self, node: Node) -> None:
         self._node = node
-        self._line, self._stream = Line.DOWN, None  # type: Line, Stream | None
+        self._line = Line.DOWN
+        self._stream: Stream | None = None
         self._wanted = anyio.Event()
         self._waiting: dict[Transaction, float] = {}  # not written yet; the module bounds how many are out
         self._out: dict[Transaction, None] = {}
--- a/nickelslip/server/workers.py
+++ b/nickelslip/server/workers.py
@@ -53,7 +53,8 @@
 
     def __init__(self, node: Node) -> None:
         self._node = node
-        self._link, self._stream = Link.DOWN, None  # type: Link, Stream | None
+        self._link = Link.DOWN
+        self._stream: Stream | None = None
         self._seq = 0  # of the last notice read
         self._tag, self._fence = 0, ""
         self._doubtful: list[Command] = []  # written on a link that was lost
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -8,7 +8,7 @@
 import pytest
 from click.testing import CliRunner
 
-from nickelslip.server.cli import main
+from nickelslip.server.cli import Lines, main
 from nickelslip.server.config import config_of
 from nickelslip.settings import Malformed
 from tests.helpers import TOLD
@@ -70,3 +70,18 @@
     file.write_text(json.dumps(GOOD))
     assert CliRunner().invoke(main, ["check", "--config", str(file)]).output.startswith("n3: 3 service grades")
     assert CliRunner().invoke(main, ["version"]).output.strip()
+
+
+def test_a_log_that_nobody_reads_never_blocks_and_says_what_it_left_out():
+    reader, writer = os.pipe()
+    lines = Lines(writer)
+    for _ in range(100):
+        lines.msg('{"event":"' + "x" * 6000 + '"}')
+    left = os.read(reader, 1 << 20)
+    lines.msg('{"event":"read again"}')
+    assert left.endswith(b"\n") and len(left) < 1 << 17
+    last = json.loads(os.read(reader, 1 << 20))
+    assert last == {"event": "read again", "lines_lost": 100 - left.count(b"\n")}
+    os.close(reader)
+    lines.msg('{"event":"nobody is there"}')
+    os.close(writer)
