A link lost twice keeps what is doubtful, and commands no longer wait for the gauges

Seen on rereading workers.py: commands waited for the answer to a question for the gauges, which may never come (_bound, _resume), and a link that broke again before that answer forgot what was doubtful on the first. What was never written now goes out as soon as the link is bound; only repeats wait for the answer. A test breaks the link twice, with the questions unanswered between.

--- a/nickelslip/server/workers.py
+++ b/nickelslip/server/workers.py
@@ -36,7 +36,6 @@
 
     DOWN = "there is none; commands wait"
     BINDING = "connected, and waiting for the worker pool to be up"
-    RESUMING = "notices that were missed are being read; commands wait"
     UP = "commands go out at once"
 
 
@@ -180,29 +179,27 @@
             self._node.log.error("notice not understood", error=repr(error), line=repr(line[:100]))
 
     def _bound(self, end: str, ago_ms: float) -> None:
+        """The link stands. What was never written goes out now; what may be lost waits for the answer to a question
+        behind the missed notices, by which all of them have been read."""
         self._node.log.info("worker pool bound", was=end, ago_ms=ago_ms, resumed_after=self._seq)
-        self._enter(Link.RESUMING)
-        self._tag += 1
-        self._fence = str(self._tag)
-        doubtful = [command for command in self._unproven if command.one is not None]
-        self._unproven.clear()
-        self._write(Command("poll", None, {"tag": self._fence}))
-        self._doubtful = doubtful
-        if not doubtful:
-            self._resume()
-        self._node.workers_up(ago_ms)
-
-    def _resume(self) -> None:
-        """All that was missed has been read: repeat what may be repeated, then go on with what waited."""
         self._enter(Link.UP)
+        lost = [*self._doubtful, *self._unproven]
+        self._doubtful = [command for command in lost if command.one is not None and command.one.run_out]
+        self._unproven.clear()
+        self.ask_gauges()
+        self._fence = str(self._tag)
         waiting, self._waiting = self._waiting, deque()
-        for command in self._doubtful:
-            if self._may_repeat(command):
-                self._write(command)
         for command in waiting:
             if command.one is not None and command.one.run_out:
                 self._write(command)
-        self._fence, self._doubtful = "", []
+        self._node.workers_up(ago_ms)
+
+    def _caught_up(self) -> None:
+        """All that was missed has been read: repeat what may be repeated."""
+        doubtful, self._doubtful, self._fence = self._doubtful, [], ""
+        for command in doubtful:
+            if self._may_repeat(command):
+                self._write(command)
 
     def _may_repeat(self, command: Command) -> bool:
         """Of what may have been lost with a link: a start of which nothing was heard, where a second run does no
@@ -215,12 +212,11 @@
         return command.op == "pass" and one.state is State.OMITTED and command.fields["seq"] == one.call.seq
 
     def _polled(self, tag: str, values: list[Any]) -> None:
-        while self._unproven:  # what was written before the question got there before it
-            command = self._unproven.popleft()
-            if command.op == "poll" and command.fields["tag"] == tag:
-                break
+        if any(command.fields.get("tag") == tag for command in self._unproven):
+            while self._unproven.popleft().fields.get("tag") != tag:
+                pass  # what was written before the question got there before it
         if tag == self._fence:
-            self._resume()
+            self._caught_up()
         read = {GAUGES[name]: float(value) for name, value in zip(self._node.config.gauges, values, strict=False)
                 if name in GAUGES and value is not None}
         self._gauges = Gauges(**read)
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -323,6 +323,23 @@
         assert (await caller.answer())[:2] == (2, "error")  # it may have run: neither dismissed nor repeated
 
 
+async def test_a_link_that_breaks_again_before_it_caught_up_keeps_what_is_doubtful_and_holds_up_nothing():
+    async with Place() as place:
+        caller = await (await place.up()).caller()
+        place.pool.measures = False
+        await place.running(caller, A)
+        await place.pool.cut()
+        await until(lambda: place.pool.links == 2 and place.node.workers.up)
+        await place.running(caller, B)  # although no question is answered
+        assert len(place.pool.told("spawn", A)) == 1
+        place.pool.measures = True
+        await place.pool.cut()
+        await until(lambda: len(place.pool.told("spawn", A)) == 2 and len(place.pool.told("spawn", B)) == 2)
+        for tag, ident in ((1, A), (2, B)):
+            await place.pool.finish(ident)
+            assert (await caller.answer())[:2] == (tag, "done")
+
+
 async def test_commands_wait_while_there_is_no_link_and_a_late_worker_pool_is_waited_for():
     async with Place() as place:
         caller = await (await place.up()).caller()
