Calls and commands after the end of their connection count as never written

Seen on rereading records.py and workers.py: between the end of a connection and its reader's hearing of it, what was to be written was counted as out and ended as broken off, which proves nothing; a single-use transaction was forfeited for it. It now waits for the next connection, as it never left.

--- a/nickelslip/server/records.py
+++ b/nickelslip/server/records.py
@@ -51,10 +51,10 @@
         if self._stream is not None and not self._out and now - self._used > SERVICE_IDLE_MS / 2:
             self._drop(Ending.IDLE)  # the service may be closing it at this very moment
         self._used = now
-        if self._stream is not None and self._line is Line.UP:
+        if self._stream is not None and not self._stream.ending:
             self._write(self._stream, one, wait_ms)
         else:
-            self._waiting[one] = wait_ms
+            self._waiting[one] = wait_ms  # not written, whatever became of the connection before
             self._enter(Line.WANTED)
             self._wanted.set()
 
--- a/nickelslip/server/workers.py
+++ b/nickelslip/server/workers.py
@@ -65,7 +65,8 @@
 
     @property
     def up(self) -> bool:
-        return self._link is Link.UP
+        """Whether a command can be written now."""
+        return self._link is Link.UP and self._stream is not None and not self._stream.ending
 
     # What is told to the worker pool
 
@@ -85,7 +86,7 @@
         self._tell(Command("pass", one, {"seq": one.call.seq}))
 
     def ask_gauges(self) -> None:
-        if self._link is Link.UP:
+        if self.up:
             self._tag += 1
             self._write(Command("poll", None, {"tag": str(self._tag)}))
 
@@ -95,10 +96,10 @@
         return gauges
 
     def _tell(self, command: Command) -> None:
-        if self._link is Link.UP:
+        if self.up:
             self._write(command)
         else:
-            self._waiting.append(command)
+            self._waiting.append(command)  # proven never to have got there
 
     def _write(self, command: Command) -> None:
         ident = {} if command.one is None else {"id": command.one.asked.ident}
@@ -191,7 +192,7 @@
         waiting, self._waiting = self._waiting, deque()
         for command in waiting:
             if command.one is not None and command.one.run_out:
-                self._write(command)
+                self._tell(command)
         self._node.workers_up(ago_ms)
 
     def _caught_up(self) -> None:
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -16,6 +16,7 @@
 
 from nickelslip.admission.control import Control
 from nickelslip.server import balancers, resp
+from nickelslip.server.endings import Ending
 from nickelslip.server.node import Phase
 from nickelslip.server.streams import SIZE
 from tests.helpers import A, B, C, Place, until
@@ -340,6 +341,16 @@
             assert (await caller.answer())[:2] == (tag, "done")
 
 
+async def test_a_command_after_the_end_of_its_link_was_never_written_and_goes_out_on_the_next():
+    async with Place() as place:
+        caller = await (await place.up()).caller()
+        await place.running(caller, A, "pay")
+        place.node.workers._stream.end_with(Ending.RESET)  # of which its reader has not heard
+        place.node.workers.supply(place.node.transactions[int(A, 16)], b"reply")
+        await until(lambda: place.pool.told("supply", A))
+        assert place.pool.links == 2 and len(place.pool.told("spawn", A)) == 1
+
+
 async def test_commands_wait_while_there_is_no_link_and_a_late_worker_pool_is_waited_for():
     async with Place() as place:
         caller = await (await place.up()).caller()
@@ -452,6 +463,18 @@
         await until(lambda: ("OP", B, CALL) in place.records.seen)
 
 
+async def test_a_call_after_the_end_of_its_connection_was_never_written_and_goes_out_on_the_next():
+    async with Place() as place:
+        caller = await (await place.up()).caller()
+        await place.calling(caller, A, "pay")
+        await place.records.reply(A, "DONE", b"")
+        await until(lambda: place.pool.told("supply", A))
+        place.node.records._stream.end_with(Ending.RESET)  # of which its reader has not heard
+        place.node.records.call(place.node.transactions[int(A, 16)], 500.0)
+        await until(lambda: place.records.seen.count(("OP", A, CALL)) == 2)
+        assert place.records.links == 2 and not place.node.transactions[int(A, 16)].answered
+
+
 async def test_a_call_that_is_given_up_is_told_and_its_late_reply_passed_over():
     async with Place() as place:
         caller = await (await place.up()).caller()
