A connection given up with more unread is seen off, not reset under its answers

Seen on rereading streams.py: closing a socket with unread data resets the connection, which can take answers along that are on their way. After the last answer nothing more is sent, and what still comes is passed over until the other side closes, for a second at most. A connection for which no buffer is left now has its transactions answered too. The test ends in a reset without the change.

--- a/nickelslip/server/balancers.py
+++ b/nickelslip/server/balancers.py
@@ -125,7 +125,7 @@
                 self._read()
         except Ended as ended:
             fault = ended
-            if ended.ending in (Ending.GARBLED, Ending.STALLED):
+            if ended.ending in (Ending.GARBLED, Ending.STALLED, Ending.SHED):
                 await self._answer_the_rest()
         except Exception as error:  # this connection alone ends, with all that it brought answered
             fault = Ended(Ending.FAULT, repr(error))
@@ -226,6 +226,7 @@
         with anyio.move_on_after(self._node.stall_ms / 1000):
             while not self.stream.all_sent and not self.stream.ending:
                 await anyio.sleep(ACCEPT_PAUSE_S)
+        await self.stream.see_off()
 
     def close(self) -> None:
         """No new transaction is to come here; the balancer closes when all is answered."""
--- a/nickelslip/server/streams.py
+++ b/nickelslip/server/streams.py
@@ -10,6 +10,7 @@
 import os
 import socket
 from collections import deque
+from collections.abc import Awaitable, Callable
 from math import inf
 from typing import TYPE_CHECKING
 
@@ -108,9 +109,21 @@
             self._room = anyio.Event()
             await self._room.wait()
 
-    async def _until(self, ready: object) -> None:
+    async def see_off(self) -> None:
+        """Say that nothing more is sent, and pass over what still comes until the other side closes, for a moment:
+        closed with something unread, the connection would take answers along that are on their way."""
+        with anyio.move_on_after(CONNECT_S):
+            try:
+                self._sock.shutdown(socket.SHUT_WR)
+                while True:
+                    self.take(self.end)
+                    await self.fill()
+            except (Ended, OSError):
+                return
+
+    async def _until(self, ready: Callable[[socket.socket], Awaitable[None]]) -> None:
         try:
-            await ready(self._sock)  # type: ignore[operator]
+            await ready(self._sock)
         except (anyio.ClosedResourceError, OSError, ValueError):
             raise Ended(self.ending or Ending.RESET) from None
 
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -163,6 +163,17 @@
         assert (await other.answer())[:2] == (1, "done")
 
 
+async def test_a_connection_that_ends_with_more_unread_is_not_reset_under_its_answers():
+    async with Place() as place:
+        caller = await (await place.up()).caller()
+        await place.running(caller, A)
+        await caller.stream.send(b"nonsense\r\n" * 20_000)  # more than is read before the stream is given up
+        await place.pool.finish(A)
+        assert (await caller.answer())[:2] == (1, "done")
+        with pytest.raises(anyio.EndOfStream):  # and not a broken resource
+            await caller.stream.receive()
+
+
 @pytest.mark.parametrize("how", ("nevermind", "close", "reset"))
 async def test_a_caller_that_gives_up_is_told_once_and_its_run_goes_on_counting(how, monkeypatch):
     gone = []
