SIGHUP reads the configuration again; one call a connection; silent clients leave first

Ruled out on rude: memory (23 MB) and rules.

Lines at fault: node.py heard SIGTERM and interrupts only; Balancers._accept stopped accepting at the bound, and half a message was waited for over the longest abandon time; records.py carried all calls on one connection, so that one spoilt reply ended them all.

Changes: SIGHUP and SIGTERM wait from the program's first line until they are heard. A reload checks the file whole and moves the peers: the old worker pool link proves what got there before the new one is bound, calls end where they went. A first message, and the rest of one, have 2 s; at the bound the silent go first, then the idle. What is too large is refused by its first parts, and not read to its end. Each call has a connection of its own. After a lost link a replayable run whose reply may be lost is started anew, and a run that never was leaves its slot once answered.

--- a/nickelslip/server/balancers.py
+++ b/nickelslip/server/balancers.py
@@ -10,6 +10,8 @@
 import errno
 import math
 import socket
+from collections import Counter
+from math import inf
 from typing import TYPE_CHECKING
 
 import anyio
@@ -30,7 +32,9 @@
 TAG_DIGITS = 18
 SPAN_MOST_MS = 86_400_000.0
 BACKLOG_MOST = 64 * 1024  # unread answers over which no more is read from a connection
-DESCRIPTORS_ELSE = 24  # what the process needs beside balancers' connections
+DESCRIPTORS_ELSE = 64  # what the process needs beside balancers' connections, most of it for calls
+PATIENCE_MS = 2000.0  # from a connection's start to its first message, and from a message's begin to its end
+FAULTS_MOST = 64  # in a row: more come from something that will not learn
 ACCEPT_PAUSE_S = 0.05
 FULL = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 WORDS = {State.SATISFIED: b"done", State.DISMISSED: b"later", State.FORFEITED: b"error"}
@@ -68,6 +72,12 @@
     return value
 
 
+def tag_in(parts: list[bytes]) -> int:
+    """The tag of a message, or 0 where it has none that could be answered."""
+    digits = parts[1] if len(parts) > 1 else b""
+    return int(digits) if digits.isdigit() and len(digits) <= TAG_DIGITS else 0
+
+
 def asked_from(parts: list[bytes], repeats: dict[str, Repeat], customers: frozenset[str]) -> Asked:
     """The transaction in an ASK behind its tag: grade, fields and body."""
     if not 2 <= len(parts) <= 3:
@@ -105,13 +115,15 @@
 
 
 class Connection:
-    """One balancer's connection."""
+    """One balancer's connection, or that of somebody who is none."""
 
     def __init__(self, front: Balancers, sock: socket.socket) -> None:
         self._front, self._node = front, front.node
         self.stream = Stream(sock, front.node.buffers, front.node.tasks, front.node.stall_ms, BACKLOG_MOST)
         self._open: dict[int, Transaction] = {}
-        self.used = front.node.clock()
+        self.began = self.used = self._since = front.node.clock()
+        self.proven = False  # something that could be understood came on it
+        self._faults = 0
         self.closing = False
         self._quiet = anyio.Event()
 
@@ -121,8 +133,10 @@
         try:
             while True:
                 await self.stream.room()
-                await self.stream.fill()
+                await self.stream.fill(self._patience())
                 self._read()
+                if self._faults > FAULTS_MOST:
+                    raise Ended(Ending.GARBLED, "nothing but faults")
         except Ended as ended:
             fault = ended
             if ended.ending in (Ending.GARBLED, Ending.STALLED, Ending.SHED):
@@ -136,8 +150,13 @@
             for one in self._open.values():
                 one.post(Gone())
             self._open.clear()
-            if fault.ending is not Ending.CLOSED:
-                self._node.log.info("balancer connection ended", ending=fault.ending.name, detail=fault.detail)
+            self._front.tell_ended(fault)
+
+    def _patience(self) -> float:
+        """How long the other side may take over what it has begun: to say a first thing, or to end a message."""
+        if self.proven and self.stream.data is None:
+            return inf
+        return self._since + PATIENCE_MS - self._node.clock()
 
     def _read(self) -> None:
         stream = self.stream
@@ -145,19 +164,24 @@
             try:
                 whole = resp.parse(stream.data, stream.start, stream.end)
             except resp.Garbled as garbled:
+                self._refuse(garbled.parts)
                 raise Ended(Ending.GARBLED, str(garbled)) from None
             if whole is None:
                 return
             parts, upto = whole
             stream.take(upto)
-            self.used = self._node.clock()
+            self.used = self._since = self._node.clock()
             self._message(parts)
 
+    def _refuse(self, parts: list[bytes]) -> None:
+        """What cannot be understood to its end is refused by its first parts, where they hold a usable tag."""
+        if len(parts) > 1 and parts[0] != b"NEVERMIND" and (tag := tag_in(parts)) and tag not in self._open:
+            self._answer(tag, Answer(State.FORFEITED, self._node.said))
+
     def _message(self, parts: list[bytes]) -> None:
-        verb, digits = parts[0], parts[1] if len(parts) > 1 else b""
-        if not digits.isdigit() or len(digits) > TAG_DIGITS or not int(digits):
-            raise Ended(Ending.GARBLED, f"a tag of {digits[:20]!r}")
-        tag = int(digits)
+        verb, tag = parts[0], tag_in(parts)
+        if not tag:
+            raise Ended(Ending.GARBLED, "no tag")
         if verb == b"NEVERMIND":
             one = self._open.pop(tag, None)
             if one is not None:
@@ -167,6 +191,7 @@
         if tag in self._open:
             raise Ended(Ending.GARBLED, f"tag {tag} is in use")
         if verb == b"STATUS":
+            self.proven = True
             self._send(tag, b"healthy" if self._node.healthy else b"sick", self._said(self._node.said))
         elif verb == b"ASK":
             taken = False
@@ -175,9 +200,11 @@
             except BadField as bad:
                 self._front.tell_bad(str(bad))
             finally:
+                self._faults = 0 if taken else self._faults + 1
                 if not taken:
                     self._answer(tag, Answer(State.FORFEITED, self._node.said))
         else:
+            self._faults += 1
             self._answer(tag, Answer(State.FORFEITED, self._node.said))
 
     def _ask(self, tag: int, parts: list[bytes]) -> bool:
@@ -188,6 +215,7 @@
         one = Transaction(asked, lambda answer: self._answer(tag, answer))
         if self._node.take(one):
             self._open[tag] = one
+            self.proven = True
             return True
         return False
 
@@ -245,7 +273,7 @@
         self._connections: set[Connection] = set()
         self._most = node.config.descriptors - DESCRIPTORS_ELSE
         self._bad = 0
-        self._short = False
+        self._endings: Counter[Ending] = Counter()
 
     def tell_bad(self, what: str) -> None:
         """Malformed transactions: the first, and then every power of two of them, makes a line."""
@@ -253,6 +281,14 @@
         if not self._bad & (self._bad - 1):
             self.node.log.warning("transaction not understood", fault=what, so_far=self._bad)
 
+    def tell_ended(self, ended: Ended) -> None:
+        """Endings other than a plain close: of each kind the first, and then every power of two, makes a line."""
+        if ended.ending is not Ending.CLOSED:
+            self._endings[ended.ending] += 1
+            if not (count := self._endings[ended.ending]) & (count - 1):
+                self.node.log.info("balancer connection ended", ending=ended.ending.name, detail=ended.detail,
+                                   so_far=count)
+
     async def serve(self) -> None:
         """Accept until the server leaves."""
         while True:
@@ -264,24 +300,35 @@
                 await anyio.sleep(ACCEPT_PAUSE_S)
 
     def _accept(self) -> bool:
-        """Take all connections that wait; whether there were more than descriptors."""
-        while not (short := len(self._connections) >= self._most):
+        """Take all connections that wait; whether the system had no descriptor for one."""
+        while True:
             try:
                 sock, _ = self._listener.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                break
+                return False
             except OSError as error:
                 if error.errno not in FULL:
                     raise
-                short = True
-                break
+                return not self._make_room()
+            if len(self._connections) >= self._most and not self._make_room():
+                sock.close()  # nothing was read: whoever it is may go elsewhere at once
+                self.tell_ended(Ended(Ending.SHED, "no connection could be ended for it"))
+                continue
             connection = Connection(self, sock)
             self._connections.add(connection)
             self.node.tasks.start_soon(self.node.guard, self._serve, connection)
-        if short is not self._short:
-            self._short = short
-            self.node.log.warning("descriptors", short=short, connections=len(self._connections))
-        return short
+
+    def _make_room(self) -> bool:
+        """End one connection on which nothing is open: the one that has said nothing for the longest time if there
+        are any that never said anything, else the one unused for the longest. Those who connect and say nothing
+        cannot fill the table; a caller that holds its connection for long opens another."""
+        spare = [each for each in self._connections if each.idle or not each.proven]
+        if not spare:
+            return False
+        longest = min(spare, key=lambda each: (each.proven, each.used))
+        self._connections.discard(longest)
+        longest.stream.end_with(Ending.SHED)
+        return True
 
     async def _serve(self, connection: Connection) -> None:
         try:
--- a/nickelslip/server/cli.py
+++ b/nickelslip/server/cli.py
@@ -9,8 +9,10 @@
 import gc
 import os
 import select
+import signal
 import sys
 from collections.abc import MutableMapping
+from functools import partial
 from importlib.metadata import PackageNotFoundError
 from importlib.metadata import version as installed
 from typing import Any
@@ -103,7 +105,7 @@
     except OSError as error:
         click.echo(f"nickelslip: listen: {config.listen[0]}:{config.listen[1]}: {error.strerror}", err=True)
         sys.exit(1)
-    node = Node(config)
+    node = Node(config, partial(load, path, os.environ))
     node.fronts.append(Balancers(node, listener))
     gc.collect()
     gc.freeze()  # what the start made stays, and is not looked through again
@@ -115,6 +117,7 @@
 @CONFIG
 def check(path: str) -> None:
     """A configuration without a server."""
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGTERM})
     config = _load(path)
     settings = config.settings
     click.echo(f"{config.name}: {len(settings.grades)} service grades, {len(settings.customers)} customers, "
--- a/nickelslip/server/config.py
+++ b/nickelslip/server/config.py
@@ -8,7 +8,7 @@
 
 import json
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, fields, replace
 from pathlib import Path
 from typing import Any
 
@@ -73,12 +73,21 @@
     )
 
 
+def moved(now: Config, fresh: Config) -> tuple[Config, list[str]]:
+    """What a running server takes over of a fresh configuration: the addresses of its peers. And the names of the
+    other fields that differ, which need a restart; the seed is drawn anew with each file and means nothing here."""
+    taken = replace(now, pool=fresh.pool, records=fresh.records, directory=fresh.directory)
+    rest = [each.name for each in fields(Config)
+            if each.name != "seed" and getattr(taken, each.name) != getattr(fresh, each.name)]
+    return taken, rest
+
+
 def load(path: str, environment: Mapping[str, str]) -> Config:
     """The configuration in the named file."""
     try:
         value = json.loads(Path(path).read_bytes())
     except OSError as error:
         raise Malformed(f"configuration: {path}: {error.strerror}") from None
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise Malformed(f"configuration: {path}: not JSON: {error}") from None
     return config_of(value, environment)
--- a/nickelslip/server/directory.py
+++ b/nickelslip/server/directory.py
@@ -14,7 +14,8 @@
 if TYPE_CHECKING:
     from nickelslip.server.node import Node
 
-REPORT_S = 1.0  # a third of the time after which a silent server is taken off the list
+REPORT_S = 0.25  # a twelfth of the time after which a silent server is taken off the list: reports get lost, and at
+# one a second a quarter of them lost took a healthy server off the list every few seconds
 
 
 class Directory:
@@ -23,23 +24,30 @@
     def __init__(self, node: Node) -> None:
         self._node = node
         self._reached = True
+        self._again = anyio.Event()
+
+    def move(self) -> None:
+        """The address, or the health, has changed: report at once."""
+        self._again.set()
 
     async def run(self) -> None:
         """Report from the start to the end."""
+        while True:
+            self._again = anyio.Event()
+            self._report()
+            with anyio.move_on_after(REPORT_S):
+                await self._again.wait()
+
+    def _report(self) -> None:
         address = self._node.config.directory
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        with socket.socket(family, socket.SOCK_DGRAM) as sock:
-            sock.setblocking(False)
-            while True:
-                word = "open" if self._node.healthy else "closed"
-                try:
-                    sock.sendto(f"PULSE {self._node.config.name} {word}".encode(), address)
-                    reached = True
-                except OSError as error:
-                    reached = False
-                    detail = error.strerror
-                if reached is not self._reached:
-                    self._reached = reached
-                    self._node.log.info("directory", reached=reached, detail=None if reached else detail)
-                with anyio.move_on_after(REPORT_S):
-                    await self._node.health_changed(self._node.healthy)
+        word = "open" if self._node.healthy else "closed"
+        detail = None
+        try:
+            with socket.socket(family, socket.SOCK_DGRAM | socket.SOCK_NONBLOCK) as sock:
+                sock.sendto(f"PULSE {self._node.config.name} {word}".encode(), address)
+        except OSError as error:
+            detail = error.strerror
+        if (detail is None) is not self._reached:
+            self._reached = detail is None
+            self._node.log.info("directory", reached=self._reached, detail=detail)
--- a/nickelslip/server/endings.py
+++ b/nickelslip/server/endings.py
@@ -20,7 +20,9 @@
     STALLED = "the other side stood still half way through a message, or did not read"
     SHED = "no buffer or descriptor was left for it"
     REFUSED = "it never came about"
-    IDLE = "unused for as long as it may stay"
+    IDLE = "unused for as long as it may stay, or not needed any more"
+    SILENT = "nothing whole came on it"
+    MOVED = "the other side's address was replaced"
     LEFT = "this server leaves"
     FAULT = "an error of this program"
 
--- a/nickelslip/server/node.py
+++ b/nickelslip/server/node.py
@@ -23,12 +23,13 @@
 
 from nickelslip.admission.control import Control
 from nickelslip.admission.interface import Change, Gauges, Outcome, Remembrance, Repeat, Result, Settings, State
-from nickelslip.server.config import Config
+from nickelslip.server.config import Config, moved
 from nickelslip.server.directory import Directory
 from nickelslip.server.records import Records
 from nickelslip.server.streams import SIZE, Buffers
 from nickelslip.server.transactions import Answer, Finished, Transaction, live
 from nickelslip.server.workers import Workers
+from nickelslip.settings import Malformed
 
 RESULTS_PART = 1 / 4  # of this process's memory, for results that repeats may still ask for
 BUFFERS_PART = 1 / 4  # and for buffers
@@ -158,8 +159,8 @@
 class Node:
     """One server."""
 
-    def __init__(self, config: Config) -> None:
-        self.config, self.log = config, structlog.get_logger()
+    def __init__(self, config: Config, reread: Callable[[], Config]) -> None:
+        self.config, self.log, self._reread = config, structlog.get_logger(), reread
         self._origin = time.time() * 1000 - time.monotonic() * 1000
         self.phase = Phase.WAITING
         self.said: float | None = None
@@ -194,7 +195,7 @@
     async def run(self) -> bool:
         """Serve until told to leave; whether all was seen to its end."""
         async with anyio.create_task_group() as self.tasks:
-            for part in (self._notices, self.workers.run, self.records.run, self.directory.run, self._timer,
+            for part in (self._notices, self.workers.run, self.directory.run, self._timer,
                          *(front.serve for front in self.fronts)):
                 self.tasks.start_soon(self.guard, part)
             await self._leave_when_due()
@@ -202,13 +203,33 @@
         return self.phase is Phase.LEAVING
 
     async def _notices(self) -> None:
-        """The notice to leave; a person at a terminal may insist with a second interrupt."""
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as notices:
-            async for notice in notices:
-                self.log.info("notice", signal=signal.Signals(notice).name)
-                if notice == signal.SIGINT and self.phase not in (Phase.WAITING, Phase.SERVING):
-                    self.tasks.cancel_scope.cancel()
-                self.leave()
+        """The notices to leave and to read the configuration again; those that came before the program could hear
+        them have waited. A person at a terminal may insist on leaving with a second interrupt."""
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as notices:
+            signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGTERM, signal.SIGHUP})
+            try:
+                async for notice in notices:
+                    self.log.info("notice", signal=signal.Signals(notice).name)
+                    if notice == signal.SIGHUP:
+                        self.reload()
+                        continue
+                    if notice == signal.SIGINT and self.phase not in (Phase.WAITING, Phase.SERVING):
+                        self.tasks.cancel_scope.cancel()
+                    self.leave()
+            finally:  # at the very end, too, none of them ends the process by default
+                signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM, signal.SIGHUP})
+
+    def reload(self) -> None:
+        """Take up the peers' new addresses; a file that cannot be read or is faulty changes nothing."""
+        try:
+            self.config, rest = moved(self.config, self._reread())
+        except Malformed as fault:
+            self.log.error("configuration not taken", fault=str(fault))
+            return
+        self.log.info("configuration taken", pool=self.config.pool, records=self.config.records,
+                      directory=self.config.directory, needs_restart=rest)
+        for part in (self.workers, self.records, self.directory):
+            part.move()
 
     async def guard(self, part: Callable[..., Any], *values: Any) -> None:
         """A task whose error ends the server in the open."""
@@ -230,6 +251,7 @@
         self.log.error("failed", error=repr(error), exc_info=error)
         self._enter(Phase.FAILED)
         self.healthy, self._control = False, None
+        self.directory.move()
         for one in list(self.transactions.values()):
             self._forfeit(one)
 
@@ -260,6 +282,7 @@
             self._decide(Control.drain, self._kill)
         elif self.phase is Phase.WAITING:
             self.healthy = False
+            self.directory.move()
             self._enter(Phase.LEAVING)
 
     async def _leave_when_due(self) -> None:
@@ -286,11 +309,6 @@
         self._changed.set()
         self._changed = anyio.Event()
 
-    async def health_changed(self, known: bool) -> None:
-        """Wait until the health is another than the known one."""
-        while self.healthy is known:
-            await self._change()
-
     async def _change(self) -> None:
         changed = self._changed
         await changed.wait()
@@ -359,7 +377,7 @@
         if result.health is not None and result.health.good is not self.healthy:
             self.healthy = result.health.good
             self.log.info("health", good=self.healthy)
-            self._tell_change()
+            self.directory.move()
         if result.idle_ms is not None:
             self.idle_ms = result.idle_ms
         for entry in result.table:
--- a/nickelslip/server/records.py
+++ b/nickelslip/server/records.py
@@ -1,8 +1,9 @@
 """Calls to the records service.
 
-Owns the one connection on which calls go out and the list of those that are out. Each call ends once: by its reply,
-by being given up, or with the connection. It must never repeat a call, and tells what is proven never to have run
-from what is not; how long a call may take and what follows from its end is the module's.
+Owns the connections on which calls go out, one call at a time on each, so that whatever a reply or its connection
+does, it does to one call. Each call ends once: by its reply, by being given up, or with its connection. It must never
+repeat a call, and tells what is proven never to have run from what is not; how long a call may take and what follows
+from its end is the module's.
 """
 
 from __future__ import annotations
@@ -10,9 +11,9 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
-import anyio
 
 from nickelslip.admission.interface import Outcome
+from nickelslip.server.config import Address
 from nickelslip.server.endings import CALL_ENDS, Ended, Ending
 from nickelslip.server.streams import SIZE, Stream, connect
 from nickelslip.server.transactions import Returned, Transaction
@@ -20,127 +21,108 @@
 if TYPE_CHECKING:
     from nickelslip.server.node import Node
 
-SERVICE_IDLE_MS = 10_000.0  # the service closes a connection unused for so long
-BACKLOG_MOST = 1 << 20
+REUSE_MS = 100.0  # a connection unused for longer may have been closed or forgotten by the service
+IDLE_MOST = 16  # unused connections kept
+HALF_MS = 500.0  # how long half a reply may stand still
+BACKLOG_MOST = 1 << 16
+HEAD_MOST = 64  # bytes of a reply's first line
 
 
 class Line(Enum):
-    """The state of the connection."""
+    """The states of a connection."""
 
-    DOWN = "there is none, and none is wanted"
-    WANTED = "calls wait for one"
-    UP = "calls go out at once"
+    CONNECTING = "its call has not been written"
+    OUT = "its call is out"
+    IDLE = "it has brought one reply in order and nothing else, and may carry another call"
+    OVER = "it carries no call any more"
 
 
-class Records:
-    """The records service, as this server reaches it."""
+class Carrier:
+    """One connection, and the call that is out on it."""
 
-    def __init__(self, node: Node) -> None:
-        self._node = node
-        self._line = Line.DOWN
+    def __init__(self, records: Records, one: Transaction, wait_ms: float) -> None:
+        self._records, self._node = records, records.node
+        self.one: Transaction | None = one
+        self._wait_ms = wait_ms
+        self.state = Line.CONNECTING
+        self.address: Address | None = records.node.config.records
+        self.used = 0.0
         self._stream: Stream | None = None
-        self._wanted = anyio.Event()
-        self._waiting: dict[Transaction, float] = {}  # not written yet; the module bounds how many are out
-        self._out: dict[Transaction, None] = {}
-        self._used = 0.0
-        self._refused = False
 
-    def call(self, one: Transaction, wait_ms: float) -> None:
-        """Send the call at which this one's run stands, now or as soon as there is a connection."""
-        now = self._node.clock()
-        if self._stream is not None and not self._out and now - self._used > SERVICE_IDLE_MS / 2:
-            self._drop(Ending.IDLE)  # the service may be closing it at this very moment
-        self._used = now
-        if self._stream is not None and not self._stream.ending:
-            self._write(self._stream, one, wait_ms)
-        else:
-            self._waiting[one] = wait_ms  # not written, whatever became of the connection before
-            self._enter(Line.WANTED)
-            self._wanted.set()
+    def _enter(self, state: Line) -> None:
+        """The one place where it changes its state."""
+        self.state = state
 
-    def give_up(self, one: Transaction) -> None:
-        """This call is waited for no longer; a reply that still comes is passed over."""
-        self._waiting.pop(one, None)
-        if one in self._out:
-            del self._out[one]
-            if self._stream is not None:
-                self._stream.write(b"UNOP %s\r\n" % one.asked.ident.encode())
-
-    def _write(self, stream: Stream, one: Transaction, wait_ms: float) -> None:
-        self._out[one] = None
+    async def serve(self) -> None:
+        """Connect, send the call, and read to the connection's end."""
+        try:
+            if self.address is None:
+                raise Ended(Ending.REFUSED, "no address was given")
+            self._stream = await connect(self.address, self._node, BACKLOG_MOST, HALF_MS)
+            self._records.reached(None)
+            if self.one is None:  # given up in the meantime, and never written
+                raise Ended(Ending.IDLE)
+            self._write(self.one, self._wait_ms)
+            while True:
+                await self._stream.fill()
+                if self.state is Line.IDLE:
+                    raise Ended(Ending.GARBLED, "something came after the reply")
+                self._reply(self._stream)
+        except Ended as ended:
+            self.end(ended)
+        finally:
+            self._records.forget(self)
+
+    def carry(self, one: Transaction, wait_ms: float) -> None:
+        """Send another call on a connection that is idle."""
+        self.one = one
+        self._write(one, wait_ms)
+
+    def _write(self, one: Transaction, wait_ms: float) -> None:
         head = b"OP %s %d %d\r\n" % (one.asked.ident.encode(), max(1, round(wait_ms)), len(one.call.body))
-        stream.write(head + one.call.body + b"\r\n")
-
-    def _enter(self, line: Line) -> None:
-        """The one place where the connection changes its state."""
-        self._line = line
-
-    def _drop(self, ending: Ending) -> None:
+        if self._stream is not None and self._stream.write(head + one.call.body + b"\r\n"):
+            self._enter(Line.OUT)
+
+    @property
+    def ready(self) -> bool:
+        """Whether it may carry another call; one that has stood idle may be dead without showing it."""
+        return (self.state is Line.IDLE and self._stream is not None and self._stream.quiet
+                and self.address == self._node.config.records and self._node.clock() - self.used <= REUSE_MS)
+
+    def end(self, ended: Ended) -> None:
+        """The connection has ended, with what that proves of the call on it."""
+        one, self.one, was = self.one, None, self.state
+        self._enter(Line.OVER)
         if self._stream is not None:
-            self._stream.end_with(ending)
-            self._stream = None
-        self._enter(Line.DOWN)
-
-    async def run(self) -> None:
-        """Connect when a call wants it, and read replies until the connection ends."""
-        while True:
-            if self._line is not Line.WANTED:
-                self._wanted = anyio.Event()
-                await self._wanted.wait()
-            stream = None
-            try:
-                stream = self._stream = await self._connect()
-                for one, wait_ms in self._waiting.items():
-                    self._write(stream, one, wait_ms)
-                self._waiting.clear()
-                while True:
-                    await stream.fill()
-                    self._replies(stream)
-            except Ended as ended:
-                self._over(stream, ended)
-
-    async def _connect(self) -> Stream:
-        if self._node.config.records is None:
-            raise Ended(Ending.REFUSED, "no address was given")
-        stream = await connect(self._node.config.records, self._node, BACKLOG_MOST, patient=True)
-        self._enter(Line.UP)
-        if self._refused:
-            self._node.log.info("records service reached again")
-        self._refused = False
-        return stream
-
-    def _over(self, stream: Stream | None, ended: Ended) -> None:
-        """A connection ended: every call on it has, too, with what that proves."""
-        if stream is not None and stream is not self._stream:
-            stream.end_with(ended.ending)
-            return  # it had been dropped, unused, and another may be wanted
-        lost = [*self._out, *self._waiting] if ended.ending is Ending.REFUSED else list(self._out)
-        if ended.ending is Ending.REFUSED:
-            if not self._refused:
-                self._node.log.warning("records service not reached", detail=ended.detail)
-            self._refused = True
-            self._waiting.clear()
-        elif lost or ended.ending is not Ending.CLOSED:
-            self._node.log.warning("records connection ended", ending=ended.ending.name, detail=ended.detail,
-                                   calls=len(lost))
-        self._out.clear()
-        self._drop(ended.ending)
-        if self._waiting:
-            self._enter(Line.WANTED)
-        for one in lost:
-            one.post(Returned(ended.ending.outcome))
-
-    def _replies(self, stream: Stream) -> None:
+            self._stream.end_with(ended.ending)
+        if one is not None:
+            self._records.returned(one)
+            if ended.ending is Ending.REFUSED:
+                self._records.reached(ended.detail)
+            else:
+                self._records.tell_broken(ended)
+            one.post(Returned(ended.ending.outcome if was is Line.OUT else Outcome.UNREACHED))
+
+    def give_up(self) -> None:
+        """Its call is waited for no longer: the end of its connection tells the service, and whatever still comes
+        can be taken for no other call's reply."""
+        self.one = None
+        self.end(Ended(Ending.IDLE))
+
+    def _reply(self, stream: Stream) -> None:
+        """Read what came; replies under other ids than the call's are passed over."""
         while stream.data is not None:
-            stop = stream.data.find(b"\r\n", stream.start, stream.end)
+            stop = stream.data.find(b"\r\n", stream.start, min(stream.end, stream.start + HEAD_MOST))
             if stop < 0:
+                if stream.end - stream.start >= HEAD_MOST:
+                    raise Ended(Ending.GARBLED, "a line without an end")
                 return
             parts = bytes(stream.data[stream.start:stop]).split(b" ")
             if len(parts) < 2 or parts[1] not in CALL_ENDS or (parts[1] == b"DONE") is not (len(parts) == 3):
-                raise Ended(Ending.GARBLED, repr(b" ".join(parts)[:100]))
+                raise Ended(Ending.GARBLED, repr(b" ".join(parts)))
             upto, body = stop + 2, b""
             if parts[1] == b"DONE":
-                if not parts[2].isdigit() or len(parts[2]) > 6 or int(parts[2]) > SIZE - 256:
+                if not parts[2].isdigit() or len(parts[2]) > 6 or int(parts[2]) > SIZE - 2 * HEAD_MOST:
                     raise Ended(Ending.GARBLED, f"a length of {parts[2][:20]!r}")
                 size = int(parts[2])
                 if stream.end < upto + size + 2:
@@ -149,15 +131,82 @@
                 upto += size + 2
                 if stream.data[upto - 2:upto] != b"\r\n":
                     raise Ended(Ending.GARBLED, "a reply that is longer than its length")
+            one = self.one
+            if one is None or parts[0] != one.asked.ident.encode():
+                stream.take(upto)
+                continue
+            self._records.returned(one)
+            self.one, self.used = None, self._node.clock()
             stream.take(upto)
-            self._reply(parts[0], CALL_ENDS[parts[1]], body)
+            self._enter(Line.IDLE)
+            one.post(Returned(CALL_ENDS[parts[1]], body))
+            if stream.data is not None:
+                raise Ended(Ending.GARBLED, "something came behind the reply")
+            self._records.idle(self)
 
-    def _reply(self, ident: bytes, outcome: Outcome, body: bytes) -> None:
-        self._used = self._node.clock()
-        try:
-            one = self._node.transactions.get(int(ident, 16))
-        except ValueError:
-            raise Ended(Ending.GARBLED, f"an id of {ident[:20]!r}") from None
-        if one is not None and one in self._out:
-            del self._out[one]
-            one.post(Returned(outcome, body))
+
+class Records:
+    """The records service, as this server reaches it."""
+
+    def __init__(self, node: Node) -> None:
+        self.node = node
+        self._carriers: dict[Transaction, Carrier] = {}
+        self._idle: list[Carrier] = []
+        self._refused = False
+        self._broken = 0
+
+    def call(self, one: Transaction, wait_ms: float) -> None:
+        """Send the call at which this one's run stands. A transaction's second call goes on a connection of its own:
+        a second copy of the first one's reply carries the same id."""
+        while self._idle and not one.called:
+            carrier = self._idle.pop()
+            if carrier.ready:
+                self._carriers[one] = carrier
+                carrier.carry(one, wait_ms)
+                break
+            carrier.end(Ended(Ending.IDLE))
+        else:
+            carrier = self._carriers[one] = Carrier(self, one, wait_ms)
+            self.node.tasks.start_soon(self.node.guard, carrier.serve)
+        one.called = True
+
+    def give_up(self, one: Transaction) -> None:
+        """This call is waited for no longer."""
+        carrier = self._carriers.pop(one, None)
+        if carrier is not None:
+            carrier.give_up()
+
+    def returned(self, one: Transaction) -> None:
+        """Its call has ended."""
+        self._carriers.pop(one, None)
+
+    def move(self) -> None:
+        """The address has changed: new calls go to the new one, and those that are out are waited for on the old."""
+        self._trim(0)
+
+    def idle(self, carrier: Carrier) -> None:
+        """It has brought its reply, and may carry another call."""
+        self._idle.append(carrier)
+        self._trim(IDLE_MOST)
+
+    def _trim(self, most: int) -> None:
+        while len(self._idle) > most:
+            self._idle.pop(0).end(Ended(Ending.IDLE))
+
+    def forget(self, carrier: Carrier) -> None:
+        """Its connection has ended."""
+        if carrier in self._idle:
+            self._idle.remove(carrier)
+
+    def reached(self, fault: str | None) -> None:
+        """Whether a connection came about: a change of that makes a line."""
+        if (fault is not None) is not self._refused:
+            self._refused = fault is not None
+            self.node.log.warning("records service", reached=fault is None, detail=fault)
+
+    def tell_broken(self, ended: Ended) -> None:
+        """Calls that ended with their connection: the first, and then every power of two of them, makes a line."""
+        self._broken += 1
+        if not self._broken & (self._broken - 1):
+            self.node.log.warning("call ended with its connection", ending=ended.ending.name, detail=ended.detail,
+                                  so_far=self._broken)
--- a/nickelslip/server/streams.py
+++ b/nickelslip/server/streams.py
@@ -24,6 +24,8 @@
 
 SIZE = 16 * 1024
 CONNECT_S = 1.0
+SEE_OFF_S, SEE_OFF_PAUSE_S = 0.5, 0.005
+PASSED_OVER = bytearray(4 * SIZE)  # where what nobody reads is put
 
 
 class Buffers:
@@ -64,17 +66,19 @@
 
     # Reading
 
-    async def fill(self) -> None:
+    async def fill(self, wait_ms: float = inf) -> None:
         """Wait until more was read; a buffer is held only while something in it is unfinished."""
         if self.ending:
             raise Ended(self.ending)
-        if self.data is None or self._stall_s == inf:
+        if self.data is not None:
+            wait_ms = min(wait_ms, self._stall_s * 1000)
+        if wait_ms == inf:
             await self._until(anyio.wait_readable)
         else:
-            with anyio.move_on_after(self._stall_s) as wait:
+            with anyio.move_on_after(max(0.0, wait_ms / 1000)) as wait:
                 await self._until(anyio.wait_readable)
             if wait.cancelled_caught:
-                raise Ended(Ending.STALLED, "half a message")
+                raise Ended(Ending.SILENT if self.data is None else Ending.STALLED)
         if self.ending:
             raise Ended(self.ending)
         if self.data is None:
@@ -111,13 +115,17 @@
 
     async def see_off(self) -> None:
         """Say that nothing more is sent, and pass over what still comes until the other side closes, for a moment:
-        closed with something unread, the connection would take answers along that are on their way."""
-        with anyio.move_on_after(CONNECT_S):
+        closed with something unread, the connection would take answers along that are on their way. Whoever sends
+        without end is read no faster than a little at a time, and not for long."""
+        with anyio.move_on_after(SEE_OFF_S):
             try:
                 self._sock.shutdown(socket.SHUT_WR)
                 while True:
                     self.take(self.end)
-                    await self.fill()
+                    await self._until(anyio.wait_readable)
+                    if not self._sock.recv_into(PASSED_OVER):
+                        return
+                    await anyio.sleep(SEE_OFF_PAUSE_S)
             except (Ended, OSError):
                 return
 
@@ -129,10 +137,11 @@
 
     # Writing
 
-    def write(self, data: bytes) -> None:
-        """Send at once what the socket takes; the rest follows from the backlog. Of an end the reader hears."""
+    def write(self, data: bytes) -> bool:
+        """Send at once what the socket takes; the rest follows from the backlog. Of an end the reader hears. False
+        proves that nothing of it has left."""
         if self.ending:
-            return
+            return False
         sent = 0
         if not self._out:
             try:
@@ -141,11 +150,12 @@
                 sent = 0
             except OSError:
                 self.end_with(Ending.RESET)
-                return
+                return False
         if sent < len(data):
             if not self._out:
                 self._tasks.start_soon(self._flush)
             self._keep(memoryview(data)[sent:])
+        return True
 
     def _keep(self, rest: memoryview) -> None:
         while rest:
@@ -182,6 +192,19 @@
         except (Ended, OSError):
             self.end_with(Ending.RESET)
 
+    @property
+    def quiet(self) -> bool:
+        """Whether it stands, with nothing to be read: neither bytes nor its end."""
+        if self.ending or self.data is not None:
+            return False
+        try:
+            self._sock.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return True
+        except OSError:
+            pass
+        return False
+
     @property
     def all_sent(self) -> bool:
         return not self._out
@@ -204,10 +227,13 @@
             self.data, self.start, self.end = None, 0, 0
 
 
-async def connect(address: tuple[str, int], node: Node, backlog_most: int, patient: bool = False) -> Stream:
-    """A stream to the address. A patient one may stand still for ever half way through what it reads."""
+async def connect(address: tuple[str, int], node: Node, backlog_most: int, stall_ms: float = inf) -> Stream:
+    """A stream to the address, which may stand still for so long half way through what it reads."""
     family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        sock = socket.socket(family, socket.SOCK_STREAM)
+    except OSError as error:  # no descriptor is left
+        raise Ended(Ending.REFUSED, str(error)) from None
     try:
         sock.setblocking(False)
         try:
@@ -215,13 +241,13 @@
         except BlockingIOError:
             with anyio.fail_after(CONNECT_S):
                 await anyio.wait_writable(sock)
-            error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-            if error:
-                raise OSError(error, os.strerror(error)) from None
+            code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if code:
+                raise OSError(code, os.strerror(code)) from None
     except (OSError, TimeoutError) as error:
         sock.close()
         raise Ended(Ending.REFUSED, str(error)) from None
     except BaseException:
         sock.close()
         raise
-    return Stream(sock, node.buffers, node.tasks, inf if patient else node.stall_ms, backlog_most)
+    return Stream(sock, node.buffers, node.tasks, stall_ms, backlog_most)
--- a/nickelslip/server/workers.py
+++ b/nickelslip/server/workers.py
@@ -17,8 +17,9 @@
 
 import anyio
 
-from nickelslip.admission.interface import Gauges, Repeat, State, Stopping
-from nickelslip.server.endings import NOT_CARRIED_OUT, RUN_ENDS, Ended
+from nickelslip.admission.interface import Gauges, Outcome, Repeat, State, Stopping
+from nickelslip.server.config import Address
+from nickelslip.server.endings import NOT_CARRIED_OUT, RUN_ENDS, Ended, Ending
 from nickelslip.server.streams import SIZE, Stream, connect
 from nickelslip.server.transactions import FINAL, Blocked, Finished, Transaction
 
@@ -26,6 +27,8 @@
     from nickelslip.server.node import Node
 
 PAUSE_MS, PAUSE_MOST_MS = 20.0, 500.0  # between tries to connect, doubled up to the second
+MOVE_MS = 100.0  # how long a link that is being replaced may take to prove what got there
+GHOST_STOPS = 3  # stops without a word, each behind the answer to a question, that prove that there is no run
 BACKLOG_MOST = 1 << 20
 UNPROVEN_MOST = 4096
 GAUGES = {"cpu_busy": "busy", "runnable": "wanting", "mem_used": "memory", "sockets": "connections"}
@@ -35,6 +38,7 @@
     """The state of the link."""
 
     DOWN = "there is none; commands wait"
+    MOVING = "the link to another address stands ready; commands wait for what was written to be proven"
     BINDING = "connected, and waiting for the worker pool to be up"
     UP = "commands go out at once"
 
@@ -54,6 +58,12 @@
         self._node = node
         self._link = Link.DOWN
         self._stream: Stream | None = None
+        self._next: Stream | None = None  # to the address that replaces this one's
+        self._address = node.config.pool  # to which the link goes
+        self._attempt: anyio.CancelScope | None = None  # the connecting, or the pause before it
+        self._proven = anyio.Event()  # of a link that is being replaced: all that was written got there
+        self._ghosts: dict[Transaction, tuple[int, int]] = {}  # runs in doubt: stops unheard, and answers before them
+        self._answers = 0  # to questions for the gauges
         self._seq = 0  # of the last notice read
         self._tag, self._fence = 0, ""
         self._doubtful: list[Command] = []  # written on a link that was lost
@@ -74,15 +84,27 @@
         self._tell(Command("spawn", one, {"class": one.asked.grade, "body": b64encode(one.asked.body).decode()}))
 
     def stop(self, one: Transaction) -> None:
-        """Where runs can be stopped. Without a link it is passed over: the module asks again while a run goes on."""
-        if self._halts and self.up:
-            self._tell(Command("suspend", one, {}))
+        """Where runs can be stopped. Without a link it is passed over: the module asks again while a run goes on.
+        A run whose start was lost ends without a word; unproven, it would keep its slot and its memory for good."""
+        if not self._halts or not self.up:
+            return
+        if one in self._ghosts and (one.answered or one.gone):
+            stops, answers = self._ghosts[one]
+            if self._answers > answers:
+                self._ghosts[one] = stops + 1, self._answers
+            if stops >= GHOST_STOPS:
+                del self._ghosts[one]
+                one.post(Finished(Outcome.CANCELLED, 0.0))
+                return
+        self._tell(Command("suspend", one, {}))
 
     def supply(self, one: Transaction, body: bytes) -> None:
+        one.heard = False
         self._tell(Command("supply", one, {"body": b64encode(body).decode()}))
 
     def go_on(self, one: Transaction) -> None:
         """Without the call at which the run stands."""
+        one.heard = False
         self._tell(Command("pass", one, {"seq": one.call.seq}))
 
     def ask_gauges(self) -> None:
@@ -114,21 +136,62 @@
         """Keep the link, and take it up again when it is lost."""
         pause = PAUSE_MS
         while True:
+            with anyio.CancelScope() as self._attempt:
+                try:
+                    if self._next is None:
+                        self._address = self._node.config.pool
+                        self._next = await connect(self._address, self._node, BACKLOG_MOST)
+                except Ended:
+                    await anyio.sleep(pause / 1000)
+                    pause = min(2 * pause, PAUSE_MOST_MS)
+            if self._next is None:
+                continue
+            self._stream, self._next, pause = self._next, None, PAUSE_MS
             try:
-                self._stream = await connect(self._node.config.pool, self._node, BACKLOG_MOST, patient=True)
                 self._enter(Link.BINDING)
                 self._stream.write(b'{"op":"bind","seq":%d}\n' % self._seq)
                 await self._read(self._stream)
             except Ended as ended:
-                if self._link is not Link.DOWN:
-                    pause = PAUSE_MS
-                    self._node.log.warning("worker pool link ended", ending=ended.ending.name, detail=ended.detail)
-                if self._stream is not None:
-                    self._stream.end_with(ended.ending)
-                    self._stream = None
+                self._node.log.warning("worker pool link ended", ending=ended.ending.name, detail=ended.detail)
+                self._stream.end_with(ended.ending)
+                self._stream = None
                 self._enter(Link.DOWN)
-            await anyio.sleep(pause / 1000)
-            pause = min(2 * pause, PAUSE_MOST_MS)
+                if ended.ending is not Ending.MOVED:
+                    await anyio.sleep(PAUSE_MS / 1000)
+
+    def move(self) -> None:
+        """The address may have changed: a link that stands is replaced once the new one does, any other at once."""
+        if self._address == self._node.config.pool and self._stream is not None:
+            return
+        if self.up:
+            self._node.tasks.start_soon(self._node.guard, self._move, self._node.config.pool)
+        elif self._stream is not None:
+            self._stream.end_with(Ending.MOVED)
+        elif self._attempt is not None:
+            self._attempt.cancel()
+
+    async def _move(self, address: Address) -> None:
+        """Connect to the new address; then let the old link prove that all that was written on it got there, so that
+        nothing is in doubt, and bind the new one. Commands wait for that moment."""
+        old, fresh = self._stream, None
+        while fresh is None and self.up and self._stream is old and address == self._node.config.pool:
+            try:
+                fresh = await connect(address, self._node, BACKLOG_MOST)
+            except Ended:
+                await anyio.sleep(PAUSE_MS / 1000)
+        if self.up and self._stream is old and address == self._node.config.pool:
+            self.ask_gauges()
+            self._enter(Link.MOVING)
+            self._proven = anyio.Event()
+            with anyio.move_on_after(MOVE_MS / 1000):
+                await self._proven.wait()
+        if fresh is None:
+            return
+        if old is None or self._stream is not old or address != self._node.config.pool:
+            fresh.end_with(Ending.IDLE)  # overtaken by a break, or by another move
+            return
+        self._next, self._address = fresh, address
+        old.end_with(Ending.MOVED)
 
     def _enter(self, link: Link) -> None:
         """The one place where the link changes its state."""
@@ -165,6 +228,8 @@
                     self._node.log.error("notices lost", after=self._seq, before=told["seq"])
                 self._seq = int(told["seq"])
             one = self._node.transactions.get(int(ident, 16)) if ident else None
+            if one is not None and "seq" in told:
+                self._ghosts.pop(one, None)
             if op == "finished" and one is not None:
                 body = b64decode(told.get("body") or "")
                 one.post(Finished(RUN_ENDS[told["end"]], float(told["ms"]), body))
@@ -185,7 +250,10 @@
         self._node.log.info("worker pool bound", was=end, ago_ms=ago_ms, resumed_after=self._seq)
         self._enter(Link.UP)
         lost = [*self._doubtful, *self._unproven]
-        self._doubtful = [command for command in lost if command.one is not None and command.one.run_out]
+        last = {command.one: command for command in lost if command.one is not None and command.op != "suspend"}
+        self._doubtful = [command for one, command in last.items() if one is not None and one.run_out]
+        doubted = (*self._ghosts, *(each.one for each in self._doubtful if each.one))
+        self._ghosts = dict.fromkeys(doubted, (0, self._answers))
         self._unproven.clear()
         self.ask_gauges()
         self._fence = str(self._tag)
@@ -201,6 +269,8 @@
         for command in doubtful:
             if self._may_repeat(command):
                 self._write(command)
+            elif self._may_start_over(command):
+                self._write(Command("suspend", command.one, {}))
 
     def _may_repeat(self, command: Command) -> bool:
         """Of what may have been lost with a link: a start of which nothing was heard, where a second run does no
@@ -209,15 +279,29 @@
         if one is None or not one.run_out or one.state in FINAL:
             return False
         if command.op == "spawn":
-            return not one.heard and self._grades[one.asked.grade].repeat is Repeat.REPLAYABLE
+            return not one.heard and self._replayable(one)
         return command.op == "pass" and one.state is State.OMITTED and command.fields["seq"] == one.call.seq
 
+    def _may_start_over(self, command: Command) -> bool:
+        """A reply that may have been lost cannot be repeated: the run may stand at its next call. A replayable run
+        that nothing was heard of since is stopped, and the module starts it anew; left alone it would stand there,
+        with its slot, until it is due."""
+        one = command.one
+        return (one is not None and one.run_out and not one.heard and one.state is State.RUNNING
+                and command.op == "supply" and self._halts and self._replayable(one))
+
+    def _replayable(self, one: Transaction) -> bool:
+        return self._grades[one.asked.grade].repeat is Repeat.REPLAYABLE
+
     def _polled(self, tag: str, values: list[Any]) -> None:
+        self._answers += 1
         if any(command.fields.get("tag") == tag for command in self._unproven):
             while self._unproven.popleft().fields.get("tag") != tag:
                 pass  # what was written before the question got there before it
         if tag == self._fence:
             self._caught_up()
+        if self._link is Link.MOVING and not self._unproven:
+            self._proven.set()
         read = {GAUGES[name]: float(value) for name, value in zip(self._node.config.gauges, values, strict=False)
                 if name in GAUGES and value is not None}
         self._gauges = Gauges(**read)
