The module looks at calls, dues and shares once a decision; buffers and links guarded

Sampled (200 a second for 8 s of the busy part): 48% in the module, 26% in _call_room, reckoned anew for each transaction that stands at a call, 10% in _answer_due over all that is in hand, 5% in the customers' counts.

Lines at fault: _serve_calls, _answer_due, _speak and _rank of control.py.

Also: a quarter of the buffers is kept for the server's own peers; a link that answers none of twenty questions is given up; a `ts` from before any caller waits, or over a second ahead, is a fault (it would pass for this server's slowness).

--- a/nickelslip/admission/control.py
+++ b/nickelslip/admission/control.py
@@ -86,9 +86,10 @@
 
     def __init__(self, guess: float, span_ms: float) -> None:
         self._recent, self._guess, self._long, self._seen = Ring(span_ms), guess, guess, 0
+        self._known: tuple[float, float] = (-inf, guess)  # the mean, and when that was reckoned
 
     def learn(self, now: float, figure: float) -> None:
-        self._seen += 1
+        self._seen, self._known = self._seen + 1, (-inf, 0.0)
         self._long += (figure - self._long) / min(self._seen + 1, 64)
         self._recent.add(now, figure)
 
@@ -101,8 +102,10 @@
         return total / count if count >= TRUST else self._guess
 
     def at(self, now: float) -> float:
-        total, count = self._recent.total(now)
-        return (total + TRUST * self._long) / (count + TRUST)
+        if self._known[0] != now:
+            total, count = self._recent.total(now)
+            self._known = now, (total + TRUST * self._long) / (count + TRUST)
+        return self._known[1]
 
 
 class Grading:
@@ -166,7 +169,7 @@
         self._grace = settings.drain_grace_ms - settings.tick_ms
         shares = SHARE_SPANS * span / 1000 / settings.servers
         self._shares = {each.name: each.share_per_s * shares for each in settings.customers}
-        self._started = {each.name: Ring(SHARE_SPANS * span) for each in settings.customers}
+        self._started = {name: Ring(SHARE_SPANS * span) for name in ("", *self._shares)}  # all, each
         self._beyond, self._again, self._further = settings.beyond_share_worth, Ring(span), 0.0
         self._slots_each = settings.cores * settings.crowd_multiple / settings.callers
         self._checks_work, self._idle_max = settings.checks_work, settings.idle_ms
@@ -184,7 +187,7 @@
         self._weight, self._early, self._reads, self._idle = 1.0, 0, 0, settings.idle_ms
         self._unread, self._busy, self._unread_ms, self._connections = 0.0, 0.0, 0.0, 0.0
         self._window_end, self._wake_at = now + WINDOW_MS, inf
-        self._drain_at = self._kill = inf
+        self._drain_at = self._kill = self._owed_next = inf  # the last: nothing is owed before
         self._said, self._result = 1.0, Result()
 
     # Events
@@ -199,6 +202,7 @@
         grading = self._gradings[arrival.grade]
         item = Item(arrival, grading, now)
         self._items[item.id] = self._in[State.HELD][item.id] = item
+        self._owed_next = min(self._owed_next, self._owed(item))
         reached = now - arrival.unread_ms
         self._unread = max(self._unread, arrival.unread_ms / grading.quoted)
         self._reads, self._unread_ms = self._reads + 1, arrival.unread_ms
@@ -275,7 +279,7 @@
 
     def drain(self, now: float, kill_ms: float) -> Result:
         """This server is being taken out and is killed at kill_ms."""
-        self._drain_at, self._kill = now, kill_ms
+        self._drain_at, self._kill, self._owed_next = now, kill_ms, now
         self._result.health = Health(good=False, stored=True)
         return self._decide(now)
 
@@ -323,18 +327,18 @@
             state = State.SPENT  # rule 4: it stays on its core, or at its call, until its end is told
         if before is State.HELD:
             item.ran, item.began = item.ran or state is State.RUNNING, now
-            if state is State.RUNNING and item.customer in self._started:
+            if state is State.RUNNING and item.customer in self._shares:
+                self._started[""].add(now, 1.0)
                 self._started[item.customer].add(now, 1.0)
         item.state = state
         self._in[state][item.id] = item
 
     def _rank(self, item: Item, arrival: Arrival, now: float) -> None:
         """Credit over expected work, less beyond a customer's share, or its part of all starts if more."""
-        if arrival.customer in self._started:
-            part = self._shares[arrival.customer]
-            counts = {name: ring.total(now)[1] for name, ring in self._started.items()}
-            part *= max(1.0, sum(counts.values()) / max(sum(self._shares.values()), 1e-9))
-            item.inside = min(1.0, (part + SIGMAS * sqrt(part)) / max(counts[arrival.customer], 1e-9))
+        if arrival.customer in self._shares:
+            part, count = self._shares[arrival.customer], self._started[arrival.customer].total(now)[1]
+            part *= max(1.0, self._started[""].total(now)[1] / max(sum(self._shares.values()), 1e-9))
+            item.inside = min(1.0, (part + SIGMAS * sqrt(part)) / max(count, 1e-9))
         worth = item.inside + self._beyond * (1 - item.inside)
         if arrival.again:
             worth *= max(AGAIN_LEAST, 1 - self._further)
@@ -385,8 +389,7 @@
             self._weight = min(1.0, self._weight + WEIGHT_GAIN)
         self._count_turning(now)
         self._trim_idle()
-        self._early, self._reads, self._unread = 0, 0, 0.0
-        self._window_end = now + WINDOW_MS
+        self._early, self._reads, self._unread, self._window_end = 0, 0, 0.0, now + WINDOW_MS
         self._entries = {ident: until for ident, until in self._entries.items() if until > now}
 
     def _trim_idle(self) -> None:
@@ -428,21 +431,22 @@
     def _answer_due(self, now: float) -> None:
         """Rule 1, and held work that cannot be in time; what was answered is stopped where it can be."""
         full = self._on_cores() + len(self._in[State.HELD]) > self._limit
-        for item in list(self._items.values()):
-            if item.state is State.SPENT:
-                if self._halts and now - item.asked >= WINDOW_MS:
-                    item.asked = now
-                    self._result.changes.append(Change(item.id, State.SPENT))
-                continue
-            last_call = now >= self._owed(item) - self._margin
-            if item.state is State.HELD:
-                if last_call or self._hopeless(item, now, full):
-                    if item.ran and not item.grading.replayable:
-                        self._move(now, item, State.FORFEITED)
-                    else:
-                        self._turn_away(item, now)
-            elif last_call:
-                self._move(now, item, State.FORFEITED)
+        for item in self._in[State.SPENT].values() if self._halts else ():
+            if now - item.asked >= WINDOW_MS:
+                item.asked = now
+                self._result.changes.append(Change(item.id, State.SPENT))
+        for item in list(self._in[State.HELD].values()):
+            if now >= self._owed(item) - self._margin or self._hopeless(item, now, full):
+                if item.ran and not item.grading.replayable:
+                    self._move(now, item, State.FORFEITED)
+                else:
+                    self._turn_away(item, now)
+        if now >= self._owed_next - self._margin:  # the rest is looked through only when one of it may be due
+            for item in [each for each in self._items.values() if each.state is not State.SPENT]:
+                if now >= self._owed(item) - self._margin:
+                    self._move(now, item, State.FORFEITED)
+            self._owed_next = min((self._owed(each) for each in self._items.values()
+                                   if each.state is not State.SPENT), default=inf)
 
     def _start_held(self, now: float) -> None:
         held = sorted(self._in[State.HELD].values(), key=lambda each: each.sort)
@@ -468,7 +472,7 @@
         if not self._in[State.AT_CALL]:
             return
         self._count_calls(now)
-        one, ahead = self._call_time.at(now), 0
+        one, ahead, room = self._call_time.at(now), 0, inf
         for item in sorted(self._in[State.AT_CALL].values(), key=lambda each: each.sort):
             end = self._judged(item) if item.grading.replayable else self._owed(item)
             left = end - self._margin - now - item.work / 2
@@ -478,12 +482,15 @@
             elif left <= 0 and item.grading.replayable:
                 self._move(now, item, State.FORFEITED)
             elif item.limit <= now and self._call_rest <= now:
-                span = min(max(left, one), self._call_room(now))
                 out = len(self._in[State.CALLING])
                 fits = out + len(self._lingering) + 1 <= max(1.0, self._call_limit)
-                if fits and span >= one and self._on_cores() + out < CROWD_PART * self._crowd(now):
-                    self._move(now, item, State.CALLING, span)
-                    item.limit, item.call_ms, item.since = now + span, item.call_ms + now - item.since, now
+                if fits and room >= one and self._on_cores() + out < CROWD_PART * self._crowd(now):
+                    room = self._call_room(now)  # it costs a look at all calls: once no one fits, none does
+                    if room >= one:
+                        span = min(max(left, one), room)
+                        self._move(now, item, State.CALLING, span)
+                        item.call_ms += now - item.since
+                        item.limit, item.since = now + span, now
                 ahead += item.state is State.AT_CALL
 
     def _call_room(self, now: float) -> float:
@@ -493,8 +500,7 @@
         room = inf
         for ahead, past in self._call_ring.fading(now):
             free = self._call_share * self._call_span - past - sum(min(max(end, 0.0), ahead) for end in ends)
-            if free < ahead:
-                room = min(room, free - self._linger)
+            room = min(room, free - self._linger) if free < ahead else room
         return room
 
     def _count_calls(self, now: float) -> None:
@@ -512,22 +518,18 @@
 
     def _keep_memory(self, now: float) -> None:
         """Rule 4: what is held yields, least credit for its work first."""
-        held = sorted(self._in[State.HELD].values(), key=lambda each: each.sort)
-        while held and self._used() > self._memory:
-            self._turn_away(held.pop(), now)
+        while self._in[State.HELD] and self._used() > self._memory:
+            self._turn_away(max(self._in[State.HELD].values(), key=lambda each: each.sort), now)
 
     def _speak(self, now: float) -> None:
         """Outward words that changed: the weight in the callers' meaning, and the next wake."""
-        leaving = now >= self._drain_at + self._grace * LEAVE_AFTER
-        weight = 0.0 if leaving else self._weight
+        weight = 0.0 if now >= self._drain_at + self._grace * LEAVE_AFTER else self._weight
         if weight != self._said and self._said_as is not Said.NOTHING:
             self._result.said = {Said.CHANCE: weight, Said.SLOTS: weight * self._slots_each,
                                  Said.RANK: 1 - weight}[self._said_as]
         self._said = weight
-        owed = min((self._owed(item) for item in self._items.values()
-                    if item.state is not State.SPENT), default=inf)
         rest = self._call_rest if self._in[State.AT_CALL] and self._call_rest > now else inf
-        wake = max(now + self._margin / 2, min(self._window_end, owed - self._margin, rest))
+        wake = max(now + self._margin / 2, min(self._window_end, self._owed_next - self._margin, rest))
         if wake < self._wake_at:
             self._wake_at = wake
             self._result.wake_in_ms = wake - now
@@ -543,7 +545,5 @@
 
     def _used(self) -> float:
         """Memory: held, running and remembered."""
-        used = self._entry_kb * len(self._entries)
-        for item in self._items.values():
-            used += item.kb * (1.0 if item.state is State.HELD else self._run_factor)
-        return used
+        every, held = (sum(item.kb for item in each.values()) for each in (self._items, self._in[State.HELD]))
+        return self._entry_kb * len(self._entries) + self._run_factor * every - (self._run_factor - 1) * held
--- a/nickelslip/server/balancers.py
+++ b/nickelslip/server/balancers.py
@@ -34,6 +34,7 @@
 BACKLOG_MOST = 64 * 1024  # unread answers over which no more is read from a connection
 DESCRIPTORS_ELSE = 64  # what the process needs beside balancers' connections, most of it for calls
 PATIENCE_MS = 2000.0  # from a connection's start to its first message, and from a message's begin to its end
+AHEAD_MS = 1000.0  # by which a caller's clock may be before this one's
 FAULTS_MOST = 64  # in a row: more come from something that will not learn
 ACCEPT_PAUSE_S = 0.05
 FULL = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
@@ -78,8 +79,10 @@
     return int(digits) if digits.isdigit() and len(digits) <= TAG_DIGITS else 0
 
 
-def asked_from(parts: list[bytes], repeats: dict[str, Repeat], customers: frozenset[str]) -> Asked:
-    """The transaction in an ASK behind its tag: grade, fields and body."""
+def asked_from(parts: list[bytes], repeats: dict[str, Repeat], customers: frozenset[str], now: float,
+               past_ms: float) -> Asked:
+    """The transaction in an ASK behind its tag: grade, fields and body. One that claims to have come longer ago than
+    any caller waits, or to be yet to come, is none: its time unread would be taken for this server's slowness."""
     if not 2 <= len(parts) <= 3:
         raise BadField("parts")
     try:
@@ -102,8 +105,10 @@
     if customers and customer not in customers:
         raise BadField("owner")
     reached, kb = figure(fields, "ts", 0.0, 1e15), figure(fields, "need", 0.0, KB_MOST)
-    if reached is None or kb is None or kb == KB_MOST or fields.get("resent", "1") not in ("0", "1"):
-        raise BadField("ts, need or resent")
+    if reached is None or not -past_ms <= reached - now <= AHEAD_MS:
+        raise BadField("ts")
+    if kb is None or kb == KB_MOST or fields.get("resent", "1") not in ("0", "1"):
+        raise BadField("need or resent")
     level, via = figure(fields, "level", -1e-9, 1.0), fields.get("via", "")
     if level == 1.0 or not via.isascii() or not via.isdigit() or len(via) > TAG_DIGITS:
         raise BadField("level or via")
@@ -211,7 +216,7 @@
         """Whether the transaction that is asked for has been taken; its life then goes on in a task."""
         if len(self._open) >= OPEN_MOST:
             raise BadField("more than may be open")
-        asked = asked_from(parts, self._front.repeats, self._front.customers)
+        asked = asked_from(parts, self._front.repeats, self._front.customers, self._node.clock(), self._node.stall_ms)
         one = Transaction(asked, lambda answer: self._answer(tag, answer))
         if self._node.take(one):
             self._open[tag] = one
--- a/nickelslip/server/streams.py
+++ b/nickelslip/server/streams.py
@@ -24,18 +24,23 @@
 
 SIZE = 16 * 1024
 CONNECT_S = 1.0
+KEPT_PART = 4  # of the buffers, one in so many is kept for this server's own peers
 SEE_OFF_S, SEE_OFF_PAUSE_S = 0.5, 0.005
 PASSED_OVER = bytearray(4 * SIZE)  # where what nobody reads is put
 
 
 class Buffers:
-    """The pool: buffers are made on demand up to the bound, and used again."""
+    """The pool: buffers are made on demand up to the bound, and used again. A part is kept for this server's own
+    peers, so that those who come in, however many, cannot take the worker pool or the records along."""
 
     def __init__(self, most: int) -> None:
         self._free: list[bytearray] = []
         self._left = most
+        self._kept = most // KEPT_PART
 
-    def take(self) -> bytearray:
+    def take(self, own: bool) -> bytearray:
+        if not own and len(self._free) + self._left <= self._kept:
+            raise Ended(Ending.SHED, "no buffer is left")
         if self._free:
             return self._free.pop()
         if not self._left:
@@ -51,12 +56,12 @@
     """One connected socket. data[start:end] is what was read and not yet taken."""
 
     def __init__(self, sock: socket.socket, buffers: Buffers, tasks: TaskGroup, stall_ms: float,
-                 backlog_most: int) -> None:
+                 backlog_most: int, own: bool = False) -> None:
         sock.setblocking(False)
         if sock.family in (socket.AF_INET, socket.AF_INET6):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._sock, self._buffers, self._tasks = sock, buffers, tasks
-        self._stall_s, self._backlog_most = stall_ms / 1000, backlog_most
+        self._stall_s, self._backlog_most, self._own = stall_ms / 1000, backlog_most, own
         self.data: bytearray | None = None
         self.start = self.end = 0
         self._out: deque[tuple[bytearray, int]] = deque()  # full ones but the last, and how much each holds
@@ -82,7 +87,7 @@
         if self.ending:
             raise Ended(self.ending)
         if self.data is None:
-            self.data, self.start, self.end = self._buffers.take(), 0, 0
+            self.data, self.start, self.end = self._buffers.take(self._own), 0, 0
         elif self.start:
             left = self.end - self.start
             self.data[:left] = self.data[self.start:self.end]
@@ -161,7 +166,7 @@
         while rest:
             if not self._out or self._out[-1][1] == SIZE:
                 try:
-                    self._out.append((self._buffers.take(), 0))
+                    self._out.append((self._buffers.take(self._own), 0))
                 except Ended as ended:
                     self.end_with(ended.ending)
                     return
@@ -250,4 +255,4 @@
     except BaseException:
         sock.close()
         raise
-    return Stream(sock, node.buffers, node.tasks, stall_ms, backlog_most)
+    return Stream(sock, node.buffers, node.tasks, stall_ms, backlog_most, own=True)
--- a/nickelslip/server/workers.py
+++ b/nickelslip/server/workers.py
@@ -28,6 +28,7 @@
 
 PAUSE_MS, PAUSE_MOST_MS = 20.0, 500.0  # between tries to connect, doubled up to the second
 MOVE_MS = 100.0  # how long a link that is being replaced may take to prove what got there
+UNHEARD_MOST = 20  # questions, ten a second, on which a link that brings nothing is given up
 GHOST_STOPS = 3  # stops without a word, each behind the answer to a question, that prove that there is no run
 BACKLOG_MOST = 1 << 20
 UNPROVEN_MOST = 4096
@@ -64,6 +65,8 @@
         self._proven = anyio.Event()  # of a link that is being replaced: all that was written got there
         self._ghosts: dict[Transaction, tuple[int, int]] = {}  # runs in doubt: stops unheard, and answers before them
         self._answers = 0  # to questions for the gauges
+        self._unheard = 0  # questions since anything was read
+        self._begun = False  # the worker pool has been up
         self._seq = 0  # of the last notice read
         self._tag, self._fence = 0, ""
         self._doubtful: list[Command] = []  # written on a link that was lost
@@ -108,6 +111,13 @@
         self._tell(Command("pass", one, {"seq": one.call.seq}))
 
     def ask_gauges(self) -> None:
+        """Ask, where a link stands. One on which many questions in a row bring nothing at all is given up: a peer
+        that vanished without a word would be waited for until every transaction is due. They are counted, and not
+        timed, since a server that stands still asks none."""
+        if self._stream is not None and self._begun:
+            self._unheard += 1
+            if self._unheard > UNHEARD_MOST:
+                self._stream.end_with(Ending.SILENT)
         if self.up:
             self._tag += 1
             self._write(Command("poll", None, {"tag": str(self._tag)}))
@@ -149,6 +159,7 @@
             self._stream, self._next, pause = self._next, None, PAUSE_MS
             try:
                 self._enter(Link.BINDING)
+                self._unheard = 0
                 self._stream.write(b'{"op":"bind","seq":%d}\n' % self._seq)
                 await self._read(self._stream)
             except Ended as ended:
@@ -203,6 +214,7 @@
         too_long = False
         while True:
             await stream.fill()
+            self._unheard = 0
             while stream.data is not None:
                 stop = stream.data.find(b"\n", stream.start, stream.end)
                 if stop < 0:
@@ -249,6 +261,7 @@
         behind the missed notices, by which all of them have been read."""
         self._node.log.info("worker pool bound", was=end, ago_ms=ago_ms, resumed_after=self._seq)
         self._enter(Link.UP)
+        self._begun = True
         lost = [*self._doubtful, *self._unproven]
         last = {command.one: command for command in lost if command.one is not None and command.op != "suspend"}
         self._doubtful = [command for one, command in last.items() if one is not None and one.run_out]
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -1,5 +1,6 @@
 """Small cases, one for each failure found or rule that is easy to get wrong."""
 
+from nickelslip.admission.control import Control
 from nickelslip.admission.interface import Customer, Gauges, Outcome, Repeat, Said, State, Stopping
 from tests.helpers import BOOK, PAY, READ, World, settings
 
@@ -282,3 +283,19 @@
     late = READ.__class__("late", 1.0, 100.0, 5000.0, Repeat.REPLAYABLE, late_share=0.8)
     world = World(settings(grades=(late,)))
     assert states(world.read(1, late, unread=500.0)) == [(1, State.RUNNING)]
+
+
+def test_many_that_wait_for_leave_to_call_cost_one_look_at_the_calls_that_are_out(monkeypatch):
+    looks, room = [], Control._call_room
+    monkeypatch.setattr(Control, "_call_room", lambda self, now: looks.append(now) or room(self, now))
+    world = World(settings(cores=40, memory_kb=1e6, call_share=2.0, call_linger_ms=1900.0))
+    for ident in range(30):
+        world.read(ident, PAY)
+    for ident in world.at("core"):
+        world.call(ident)
+    world.back(world.at("out")[0], Outcome.TIMEOUT)
+    looks.clear()
+    waiting = len(world.at("call"))
+    world.now += 1
+    world.call(world.at("core")[0]) if world.at("core") else world.take(world.control.timer(world.now, Gauges()))
+    assert waiting > 10 and len(looks) <= 1
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -17,7 +17,7 @@
 import pytest
 
 from nickelslip.admission.control import Control
-from nickelslip.server import balancers, resp
+from nickelslip.server import balancers, resp, workers
 from nickelslip.server.endings import Ending
 from nickelslip.server.node import Phase
 from nickelslip.server.streams import SIZE
@@ -86,7 +86,7 @@
         assert abs(arrival.due_ms - ts - 480) < 1e-6 and abs(arrival.unread_ms - (now - ts)) < 0.5
         assert (arrival.again, arrival.caller, arrival.kb, arrival.customer) == (True, 9, 12.5, "acme")
         assert arrival.marked
-        await caller.ask(B, ts=ts + 100_000)
+        await caller.ask(B, ts=ts + 540)
         await until(lambda: len(seen) == 2)
         assert seen[1][1].unread_ms == 0 and not seen[1][1].again and not seen[1][1].marked
 
@@ -120,7 +120,8 @@
 
 
 @pytest.mark.parametrize("bad", (
-    {"req": "12"}, {"req": "z" * 16}, {"without": "req"}, {"without": "ts"}, {"ts": "soon"}, {"need": 0},
+    {"req": "12"}, {"req": "z" * 16}, {"without": "req"}, {"without": "ts"}, {"ts": "soon"}, {"ts": 1},
+    {"ts": int(time.time() * 1000) + 60_000}, {"need": 0},
     {"need": 2000}, {"without": "need"}, {"level": 1.0}, {"level": -0.1}, {"owner": "nobody"},
     {"without": "owner"}, {"timeout": -5}, {"timeout": "nan"}, {"via": "x"}, {"resent": 2}, {"grade": "unknown"},
     {"body": bytes(2049)}, {"via": "4,via=5"},
@@ -236,16 +237,17 @@
 
 
 async def test_where_places_run_short_the_silent_go_first_then_the_idle_and_never_one_with_work_open():
-    async with Place() as place:
+    async with Place(cpus=32) as place:
         await place.up()
         place.node.fronts[0]._most = 3
         busy, silent, idle = [await place.caller() for _ in range(3)]
         await place.running(busy, A)
         await idle.send("STATUS", "1", "")
         assert (await idle.answer())[1] == "healthy"
-        for gone in (silent, idle):
-            other = await place.caller()
-            await place.running(other, B if gone is silent else C)
+        others = []
+        for gone, ident in ((silent, B), (idle, C)):
+            others.append(await place.caller())
+            await place.running(others[-1], ident)
             assert await gone.ended()
         with pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError, OSError)):  # all are busy
             late = await place.caller()
@@ -547,6 +549,30 @@
         assert calls == ["timer", "at_call"]
 
 
+async def test_a_link_that_stands_and_says_nothing_is_given_up(monkeypatch):
+    monkeypatch.setattr(workers, "UNHEARD_MOST", 3)
+    async with Place() as place:
+        caller = await (await place.up()).caller()
+        place.pool.measures = False
+        await until(lambda: place.pool.links == 2)
+        place.pool.measures = True
+        await place.running(caller, A)
+        await place.pool.finish(A)
+        assert (await caller.answer())[:2] == (1, "done")
+
+
+async def test_those_who_come_in_cannot_take_the_buffers_of_the_worker_pool():
+    async with Place() as place:
+        caller = await (await place.up()).caller()
+        await place.running(caller, A)
+        place.node.buffers._left = place.node.buffers._kept - len(place.node.buffers._free)
+        other = await place.caller()
+        await other.send("STATUS", "1", "")
+        assert await other.ended()
+        await place.pool.finish(A)
+        assert (await caller.answer())[:2] == (1, "done") and place.pool.links == 1
+
+
 # The records
 
 
