--- a/nickelslip/admission/control.py
+++ b/nickelslip/admission/control.py
@@ -13,6 +13,7 @@
 
 import random
 from math import inf, sqrt
+from operator import attrgetter
 
 from nickelslip.admission.interface import (
     Arrival, Change, Gauges, Grade, Health, Outcome, Remembrance, Repeat, Result, Said, Settings, State,
@@ -136,15 +137,15 @@
         self.due = max(now, arrival.due_ms if arrival.due_ms is not None else reached + grading.abandon)
         self.work = grading.run.at(now) if self.hint is None else self.hint * grading.ratio.at(now)
         self.worth_until = min(self.due, reached + grading.quoted + grading.stretch * self.work)
-        self.state, self.ran, self.asked = State.HELD, False, -inf
+        self.state, self.ran, self.asked, self.began = State.HELD, False, -inf, now
         self.call_ms, self.since, self.limit = 0.0, now, inf  # time at calls; when this one began, and ends
-        self.sort, self.began = (0.0, 0.0, 0), now
-        self.customer, self.inside = arrival.customer or "", 1.0  # part inside the share
+        self.sort, self.customer, self.inside = (0.0, 0.0, 0), arrival.customer or "", 1.0  # part
 
 
 FINAL = (State.SATISFIED, State.DISMISSED, State.FORFEITED, State.ABANDONED)
 ENDS = {Outcome.OK: State.SATISFIED, Outcome.ERROR: State.FORFEITED}
 ON_CORE = (State.RUNNING, State.OMITTED, State.SPENT)
+SORT = attrgetter("sort")
 UNRUN = (State.HELD, State.JOINED)  # an end frees these at once; all others wait for word from the cores
 
 
@@ -379,8 +380,7 @@
         grading.run.learn(now, core_ms)
         if item.hint:
             grading.ratio.learn(now, core_ms / item.hint)
-        if grading.calls:
-            grading.at_calls.learn(now, item.call_ms)
+        grading.at_calls.learn(now, item.call_ms)
 
     def _close_window(self, now: float) -> None:
         if self._early or self._unread > UNREAD_CUT:
@@ -449,11 +449,11 @@
                                    if each.state is not State.SPENT), default=inf)
 
     def _start_held(self, now: float) -> None:
-        held = sorted(self._in[State.HELD].values(), key=lambda each: each.sort)
-        crowd, line = CROWD_PART * self._crowd(now), len(self._in[State.AT_CALL]) >= self._cores
-        for item in held:
+        most = min(CROWD_PART * self._crowd(now) - len(self._in[State.CALLING]), self._limit + 1)
+        line = len(self._in[State.AT_CALL]) >= self._cores
+        for item in sorted(self._in[State.HELD].values(), key=SORT) if self._on_cores() < most else ():
             on_cores = self._on_cores()
-            if on_cores >= min(self._limit + self._ahead(item), crowd - len(self._in[State.CALLING])):
+            if on_cores >= most or (on_cores >= self._limit and not self._ahead(item)):
                 return
             if item.ran and not item.grading.replayable:
                 continue
@@ -462,10 +462,10 @@
             if self._used() + (self._run_factor - 1) * item.kb <= self._memory:
                 self._move(now, item, State.RUNNING)
 
-    def _ahead(self, item: Item) -> int:
+    def _ahead(self, item: Item) -> bool:
         """One over the limit where all that runs is worth far less for its work. Harm: it slows what runs."""
         runs = [*self._in[State.RUNNING].values(), *self._in[State.OMITTED].values()]
-        return int(bool(runs) and all(item.sort[0] <= AHEAD * each.sort[0] for each in runs))
+        return bool(runs) and item.sort[0] <= AHEAD * min(runs, key=SORT).sort[0]
 
     def _serve_calls(self, now: float) -> None:
         """Leave to call, most credit for its work first; what cannot goes on without or is given up."""
@@ -473,7 +473,7 @@
             return
         self._count_calls(now)
         one, ahead, room = self._call_time.at(now), 0, inf
-        for item in sorted(self._in[State.AT_CALL].values(), key=lambda each: each.sort):
+        for item in sorted(self._in[State.AT_CALL].values(), key=SORT):
             end = self._judged(item) if item.grading.replayable else self._owed(item)
             left = end - self._margin - now - item.work / 2
             wait = ahead * one / self._call_limit + max(0.0, self._call_rest - now)
@@ -519,7 +519,7 @@
     def _keep_memory(self, now: float) -> None:
         """Rule 4: what is held yields, least credit for its work first."""
         while self._in[State.HELD] and self._used() > self._memory:
-            self._turn_away(max(self._in[State.HELD].values(), key=lambda each: each.sort), now)
+            self._turn_away(max(self._in[State.HELD].values(), key=SORT), now)
 
     def _speak(self, now: float) -> None:
         """Outward words that changed: the weight in the callers' meaning, and the next wake."""
@@ -537,7 +537,7 @@
     # Figures of the fourth rule
 
     def _on_cores(self) -> int:
-        return sum(len(self._in[state]) for state in ON_CORE)
+        return len(self._in[State.RUNNING]) + len(self._in[State.OMITTED]) + len(self._in[State.SPENT])
 
     def _crowd(self, now: float) -> float:
         warmth = min(1.0, self._cold_from + (1 - self._cold_from) * (now - self._began) / self._cold_ms)
--- a/nickelslip/admission/interface.py
+++ b/nickelslip/admission/interface.py
@@ -69,6 +69,8 @@
     FORFEITED = "answered with an error"
     ABANDONED = "its caller has gone"
 
+    __hash__ = object.__hash__  # states are keys at every step; Enum's own hash is a call of Python code
+
 
 @dataclass(frozen=True)
 class Grade:
--- a/nickelslip/server/cli.py
+++ b/nickelslip/server/cli.py
@@ -110,7 +110,7 @@
     gc.collect()
     gc.freeze()  # what the start made stays, and is not looked through again
     node.log.info("serving", version=_version(), name=config.name, listen=":".join(map(str, config.listen)))
-    sys.exit(0 if anyio.run(node.run) else 1)
+    sys.exit(0 if anyio.run(node.run, backend_options={"use_uvloop": True}) else 1)
 
 
 @main.command(help="Check a configuration, and say what it is.")
--- a/nickelslip/server/node.py
+++ b/nickelslip/server/node.py
@@ -306,8 +306,10 @@
         self.log.info("ended", in_hand=len(self.transactions))
 
     def _tell_change(self) -> None:
-        self._changed.set()
-        self._changed = anyio.Event()
+        """Who leaves waits for this; while the server serves, nobody does."""
+        if self.phase is not Phase.SERVING:
+            self._changed.set()
+            self._changed = anyio.Event()
 
     async def _change(self) -> None:
         changed = self._changed
--- a/nickelslip/server/workers.py
+++ b/nickelslip/server/workers.py
@@ -31,6 +31,7 @@
 UNHEARD_MOST = 20  # questions, ten a second, on which a link that brings nothing is given up
 GHOST_STOPS = 3  # stops without a word, each behind the answer to a question, that prove that there is no run
 BACKLOG_MOST = 1 << 20
+ENCODE = json.JSONEncoder(separators=(",", ":")).encode
 UNPROVEN_MOST = 4096
 GAUGES = {"cpu_busy": "busy", "runnable": "wanting", "mem_used": "memory", "sockets": "connections"}
 
@@ -135,7 +136,7 @@
 
     def _write(self, command: Command) -> None:
         ident = {} if command.one is None else {"id": command.one.asked.ident}
-        line = json.dumps({"op": command.op, **ident, **command.fields}, separators=(",", ":")) + "\n"
+        line = ENCODE({"op": command.op, **ident, **command.fields}) + "\n"
         self._unproven.append(command)
         if self._stream is not None:
             self._stream.write(line.encode())
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -29,7 +29,7 @@
 
 @pytest.fixture
 def anyio_backend():
-    return "asyncio"
+    return "asyncio", {"use_uvloop": True}
 
 
 # Balancers
