Calls under a tick are not slow; a long line at the calls is looked through once a tick

The trace showed the limit of calls fall to a third at 16 s, with calls at 2 ms in the mean and replies unread for 10 ms: three times the best mean is 6 ms, about a tick.

--- a/nickelslip/admission/control.py
+++ b/nickelslip/admission/control.py
@@ -113,11 +113,10 @@
     """A service grade as decisions use it, and what was learned of it."""
 
     def __init__(self, grade: Grade, span_ms: float) -> None:
-        self.credit, self.quoted, self.abandon, self.stretch = (
-            grade.credit, grade.quoted_ms, grade.abandon_ms, grade.stretch)
+        self.credit, self.quoted, self.abandon = grade.credit, grade.quoted_ms, grade.abandon_ms
         self.replayable = grade.repeat is Repeat.REPLAYABLE
         self.referenced = grade.repeat is Repeat.REFERENCED
-        self.window = grade.window_ms
+        self.window, self.stretch = grade.window_ms, grade.stretch
         self.by_quoted = grade.late_share < LATE_KEEPS
         self.calls, self.omittable = grade.calls, grade.omit_share > 0
         self.run = Mean(grade.quoted_ms * GUESS, span_ms)  # time on a core
@@ -398,9 +397,9 @@
             self._idle = self._result.idle_ms = span
 
     def _size_calls(self, now: float, took_ms: float) -> None:
-        """How many calls may be out, judged by each that ends: what is crowded answers less. Under one a
-        rest follows each. It covers whatever slows the calls; where they vary widely it lets too few out."""
-        if took_ms - self._unread_ms > CALLS_SLOW * self._call_best:  # less what a reply may have lain unread
+        """How many calls may be out, judged by each that ends: what is crowded answers less. Under one a rest
+        follows each. Time unread and under a tick tells nothing; where calls vary too few go out."""
+        if took_ms - self._unread_ms > CALLS_SLOW * max(self._call_best, self._margin / 2):
             self._call_limit = max(CALL_LEAST * self._call_share, self._call_limit * WEIGHT_CUT)
         else:
             self._call_limit = min(self._call_share, self._call_limit * (1 + WEIGHT_GAIN))
@@ -469,7 +468,8 @@
 
     def _serve_calls(self, now: float) -> None:
         """Leave to call, most credit for its work first; what cannot goes on without or is given up."""
-        if not self._in[State.AT_CALL]:
+        free = len(self._in[State.CALLING]) + len(self._lingering) + 1 <= max(1.0, self._call_limit)
+        if not self._in[State.AT_CALL] or (now > self._looked and not free):  # a long line, too, once a tick
             return
         self._count_calls(now)
         one, ahead, room = self._call_time.at(now), 0, inf
