--- a/nickelslip/admission/control.py
+++ b/nickelslip/admission/control.py
@@ -59,7 +59,7 @@
 
     def _turn(self, now: float) -> int:
         number, size = int(now // self._width), len(self._sums)
-        for old in range(max(self._at + 1, number - size + 1), number + 1):
+        for old in range(max(self._at + 1, number - size + 1), number + 1) if number > self._at else ():
             self._sums[old % size] = self._counts[old % size] = 0.0
         self._at = max(self._at, number)
         return self._at % size
@@ -86,25 +86,22 @@
     """A learned mean: recent figures, leaning on the long memory while they are few."""
 
     def __init__(self, guess: float, span_ms: float) -> None:
-        self._recent, self._guess, self._long, self._seen = Ring(span_ms), guess, guess, 0
+        self.recent, self._guess, self._long, self._seen = Ring(span_ms), guess, guess, 0
         self._known: tuple[float, float] = (-inf, guess)  # the mean, and when that was reckoned
 
     def learn(self, now: float, figure: float) -> None:
         self._seen, self._known = self._seen + 1, (-inf, 0.0)
         self._long += (figure - self._long) / min(self._seen + 1, 64)
-        self._recent.add(now, figure)
-
-    def recent(self, now: float) -> tuple[float, float]:
-        return self._recent.total(now)
+        self.recent.add(now, figure)
 
     def lately(self, now: float) -> float:
         """By recent figures alone, or the first guess while they are too few to tell."""
-        total, count = self._recent.total(now)
+        total, count = self.recent.total(now)
         return total / count if count >= TRUST else self._guess
 
     def at(self, now: float) -> float:
         if self._known[0] != now:
-            total, count = self._recent.total(now)
+            total, count = self.recent.total(now)
             self._known = now, (total + TRUST * self._long) / (count + TRUST)
         return self._known[1]
 
@@ -367,7 +364,6 @@
         self._early += 1
         held = sum(each.work for each in self._in[State.HELD].values())
         spread = self._advice_part * self._random.uniform(0.75, 1.25)  # so that not all come back at once
-        # once it drains, this server will not be back for this caller
         advice = inf if now >= self._drain_at else (self._unread_ms + held / self._limit) * spread
         self._move(now, item, State.DISMISSED, min(advice, self._advice_max), last and now < self._drain_at)
 
@@ -403,7 +399,7 @@
             self._call_limit = max(CALL_LEAST * self._call_share, self._call_limit * WEIGHT_CUT)
         else:
             self._call_limit = min(self._call_share, self._call_limit * (1 + WEIGHT_GAIN))
-        total, count = self._call_time.recent(now)
+        total, count = self._call_time.recent.total(now)
         if count >= CALLS_KNOWN:
             self._call_best = min(self._call_best, total / count)
         self._call_rest = now + took_ms * max(0.0, 1 / self._call_limit - 1)
@@ -497,8 +493,9 @@
         """Rule 4: the longest call that keeps this server's part in the mean of any coming span."""
         ends = [each.limit - now + self._linger for each in self._in[State.CALLING].values()]
         ends += [until - now for until in self._lingering]
-        room = inf
-        for ahead, past in self._call_ring.fading(now):
+        room, most = inf, (self._call_share - (len(ends) + 1) * 17 / 16) * self._call_span
+        # where even calls out throughout would fit, no span needs a look
+        for ahead, past in self._call_ring.fading(now) if self._call_ring.total(now)[0] > most else ():
             free = self._call_share * self._call_span - past - sum(min(max(end, 0.0), ahead) for end in ends)
             room = min(room, free - self._linger) if free < ahead else room
         return room
--- a/nickelslip/admission/interface.py
+++ b/nickelslip/admission/interface.py
@@ -129,7 +129,7 @@
     checks_work: bool = False  # a check works like a small transaction unless answered from store
 
 
-@dataclass(frozen=True)
+@dataclass(slots=True)
 class Arrival:
     """A transaction as it was read."""
 
--- a/nickelslip/server/transactions.py
+++ b/nickelslip/server/transactions.py
@@ -25,7 +25,7 @@
 MAIL_MOST = 64  # what the worker pool and the records may have to say of one transaction at once
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Asked:
     """A transaction as a front read it, every field checked."""
 
