A flood of silent connections no longer crowds out one that has just asked

Checked: logs and a trace of two servers; ruled out cores, calls, memory. At fault: Balancers._accept took all that stood at the door before anything was read, and _make_room looked through all connections for the oldest without proof. Now 32 at a time; the silent are kept in order of age, and among the oldest one with nothing to be read goes. Also: what came while the server itself stood still is not late.

Each of the two tests fails without its change.

--- a/nickelslip/server/balancers.py
+++ b/nickelslip/server/balancers.py
@@ -11,6 +11,7 @@
 import math
 import socket
 from collections import Counter
+from itertools import islice
 from math import inf
 from typing import TYPE_CHECKING
 
@@ -36,6 +37,9 @@
 PATIENCE_MS = 2000.0  # from a connection's start to its first message, and from a message's begin to its end
 AHEAD_MS = 1000.0  # by which a caller's clock may be before this one's
 FAULTS_MOST = 64  # in a row: more come from something that will not learn
+BACKLOG = 1024  # connections that the system keeps for this server
+ACCEPTS_MOST = 32  # of them at once
+OLDEST = 8  # of those that never said anything, among whom one with nothing to be read goes first
 ACCEPT_PAUSE_S = 0.05
 FULL = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 WORDS = {State.SATISFIED: b"done", State.DISMISSED: b"later", State.FORFEITED: b"error"}
@@ -47,7 +51,7 @@
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind(address)
-        sock.listen(1024)
+        sock.listen(BACKLOG)
         sock.setblocking(False)
     except OSError:
         sock.close()
@@ -157,6 +161,10 @@
             self._open.clear()
             self._front.tell_ended(fault)
 
+    def _prove(self) -> None:
+        self.proven = True
+        self._front.silent.pop(self, None)
+
     def _patience(self) -> float:
         """How long the other side may take over what it has begun: to say a first thing, or to end a message."""
         if self.proven and self.stream.data is None:
@@ -196,7 +204,7 @@
         if tag in self._open:
             raise Ended(Ending.GARBLED, f"tag {tag} is in use")
         if verb == b"STATUS":
-            self.proven = True
+            self._prove()
             self._send(tag, b"healthy" if self._node.healthy else b"sick", self._said(self._node.said))
         elif verb == b"ASK":
             taken = False
@@ -220,7 +228,7 @@
         one = Transaction(asked, lambda answer: self._answer(tag, answer))
         if self._node.take(one):
             self._open[tag] = one
-            self.proven = True
+            self._prove()
             return True
         return False
 
@@ -276,6 +284,7 @@
         self.repeats = {grade.name: grade.repeat for grade in node.settings.grades}
         self.customers = frozenset(each.name for each in node.settings.customers)
         self._connections: set[Connection] = set()
+        self.silent: dict[Connection, None] = {}  # those of them that have proven nothing yet, the oldest first
         self._most = node.config.descriptors - DESCRIPTORS_ELSE
         self._bad = 0
         self._endings: Counter[Ending] = Counter()
@@ -304,9 +313,10 @@
             if self._accept():
                 await anyio.sleep(ACCEPT_PAUSE_S)
 
-    def _accept(self) -> bool:
-        """Take all connections that wait; whether the system had no descriptor for one."""
-        while True:
+    def _accept(self, most: int = ACCEPTS_MOST) -> bool:
+        """Take some of the connections that wait; whether the system had no descriptor for one. Not all, so that
+        those that were taken are read before others crowd them out."""
+        for _ in range(most):
             try:
                 sock, _ = self._listener.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
@@ -321,25 +331,33 @@
                 continue
             connection = Connection(self, sock)
             self._connections.add(connection)
+            self.silent[connection] = None
             self.node.tasks.start_soon(self.node.guard, self._serve, connection)
+        return False
 
     def _make_room(self) -> bool:
         """End one connection on which nothing is open: the one that has said nothing for the longest time if there
         are any that never said anything, else the one unused for the longest. Those who connect and say nothing
         cannot fill the table; a caller that holds its connection for long opens another."""
-        spare = [each for each in self._connections if each.idle or not each.proven]
-        if not spare:
+        oldest = list(islice(self.silent, OLDEST))
+        longest = next((each for each in oldest if each.stream.quiet), oldest[0] if oldest else None)
+        if longest is None:
+            longest = min((each for each in self._connections if each.idle), key=lambda each: each.used, default=None)
+        if longest is None:
             return False
-        longest = min(spare, key=lambda each: (each.proven, each.used))
-        self._connections.discard(longest)
+        self._forget(longest)
         longest.stream.end_with(Ending.SHED)
         return True
 
+    def _forget(self, connection: Connection) -> None:
+        self._connections.discard(connection)
+        self.silent.pop(connection, None)
+
     async def _serve(self, connection: Connection) -> None:
         try:
             await connection.serve()
         finally:
-            self._connections.discard(connection)
+            self._forget(connection)
 
     def trim(self, idle_ms: float) -> None:
         """Have connections closed that were unused for so long; one that is told and stays is ended."""
@@ -353,7 +371,7 @@
 
     async def leave(self) -> None:
         """Accept what already stands at the door, close it, and see every connection off."""
-        self._accept()
+        self._accept(BACKLOG)
         anyio.notify_closing(self._listener)
         self._listener.close()
         for connection in list(self._connections):
--- a/nickelslip/server/streams.py
+++ b/nickelslip/server/streams.py
@@ -77,13 +77,14 @@
             raise Ended(self.ending)
         if self.data is not None:
             wait_ms = min(wait_ms, self._stall_s * 1000)
+        late = None
         if wait_ms == inf:
             await self._until(anyio.wait_readable)
         else:
             with anyio.move_on_after(max(0.0, wait_ms / 1000)) as wait:
                 await self._until(anyio.wait_readable)
-            if wait.cancelled_caught:
-                raise Ended(Ending.SILENT if self.data is None else Ending.STALLED)
+            if wait.cancelled_caught:  # unless this server stood still itself, and it has long been there
+                late = Ending.SILENT if self.data is None else Ending.STALLED
         if self.ending:
             raise Ended(self.ending)
         if self.data is None:
@@ -97,6 +98,8 @@
         try:
             count = self._sock.recv_into(memoryview(self.data)[self.end:])
         except (BlockingIOError, InterruptedError):
+            if late:
+                raise Ended(late) from None
             count = -1
         except OSError as error:
             raise Ended(Ending.RESET, error.strerror or "") from None
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -1,5 +1,6 @@
 """The real server over loopback sockets, among stand-ins, with bounded waits and no bench."""
 
+import asyncio
 import errno
 import gc
 import json
@@ -11,7 +12,7 @@
 import sys
 import time
 from base64 import b64decode
-from contextlib import suppress
+from contextlib import ExitStack, suppress
 
 import anyio
 import pytest
@@ -281,6 +282,20 @@
         assert place.node.buffers._left > 900
 
 
+async def test_a_flood_of_the_silent_does_not_crowd_out_one_that_has_just_asked():
+    async with Place() as place:
+        await place.up()
+        place.node.fronts[0]._most = 20
+        with ExitStack() as flood:  # all of it stands at the door before the server can have looked
+            asking = flood.enter_context(socket.create_connection(("127.0.0.1", place.port)))
+            asking.sendall(resp.message(b"STATUS", b"1"))
+            for _ in range(100):
+                flood.enter_context(socket.create_connection(("127.0.0.1", place.port)))
+            asking.setblocking(False)
+            with anyio.fail_after(3):
+                assert b"healthy" in await asyncio.get_running_loop().sock_recv(asking, 100)
+
+
 @pytest.mark.parametrize("begun", (b"", b"*2\r\n$6\r\nSTA", resp.message(b"STATUS", b"1") + b"*2\r\n"))
 async def test_a_first_message_and_the_rest_of_one_are_waited_for_only_so_long(begun, monkeypatch):
     monkeypatch.setattr(balancers, "PATIENCE_MS", 150.0)
@@ -302,6 +317,16 @@
         assert (await held.answer())[1] == "healthy"
 
 
+async def test_what_came_while_the_server_stood_still_is_not_late(monkeypatch):
+    monkeypatch.setattr(balancers, "PATIENCE_MS", 0.0)
+    async with Place() as place:
+        await place.up()
+        with socket.create_connection(("127.0.0.1", place.port)) as there:
+            there.sendall(resp.message(b"STATUS", b"1"))  # before the server can have looked
+            there.setblocking(False)
+            assert b"healthy" in await asyncio.get_running_loop().sock_recv(there, 100)
+
+
 async def test_what_is_too_large_is_refused_by_its_first_parts_and_the_flood_is_not_read_to_its_end():
     async with Place() as place:
         caller = await (await place.up()).caller()
