--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -301,3 +301,20 @@
     world.now += 1
     world.call(world.at("core")[0]) if world.at("core") else world.take(world.control.timer(world.now, Gauges()))
     assert waiting > 10 and len(looks) <= 1
+
+
+def test_a_server_short_of_its_own_core_does_not_take_its_lag_for_a_slow_dependency():
+    world = World(settings(cores=8, memory_kb=1e6, call_share=6.0))
+
+    def call(ident, took, unread=0.0):
+        world.read(ident, READ, unread=unread)
+        world.call(ident)
+        world.now += took
+        world.back(ident, Outcome.OK)
+        world.end(ident)
+        return world.control._call_limit
+
+    assert all(call(ident, 1.0) == 5.1 for ident in range(1, 40))
+    assert call(40, 9.0) == 5.1  # under a tick or two times tell nothing
+    assert call(41, 90.0, unread=80.0) == 5.1  # what lay unread for so long is read late, replies too
+    assert call(42, 90.0) < 5.1
