A move of the worker pool that is taken back leaves a link that works

Seen on rereading: with the address replaced and put back within the 100 ms of the hand-over, the link stayed MOVING and commands waited until it was given up as silent, 2 s later. Workers._move now ends the old link, and the newest address is taken up. The test fails without it.

--- a/nickelslip/server/workers.py
+++ b/nickelslip/server/workers.py
@@ -198,10 +198,13 @@
                 await self._proven.wait()
         if fresh is None:
             return
-        if old is None or self._stream is not old or address != self._node.config.pool:
+        if old is None or self._stream is not old or self._link is not Link.MOVING:
             fresh.end_with(Ending.IDLE)  # overtaken by a break, or by another move
             return
-        self._next, self._address = fresh, address
+        if address == self._node.config.pool:
+            self._next, self._address = fresh, address
+        else:  # taken back meanwhile: commands have waited, and go out on a link to the newest address
+            fresh.end_with(Ending.IDLE)
         old.end_with(Ending.MOVED)
 
     def _enter(self, link: Link) -> None:
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -482,6 +482,21 @@
         await until(lambda: place.reports)
 
 
+async def test_a_move_that_is_taken_back_before_it_is_done_leaves_a_link_that_works():
+    async with Place() as place:
+        caller = await (await place.up()).caller()
+        old, told = place.pool, dict(place.config)
+        old.measures = False  # so that the move waits for its proof
+        await place.move()
+        await until(lambda: place.node.workers._link is workers.Link.MOVING)
+        place.pool, place.config = old, told
+        place.node.reload()
+        await caller.ask(A)
+        await until(lambda: old.told("spawn", A), 1.0)  # and not when the link is found to be silent
+        await old.finish(A)
+        assert (await caller.answer())[:2] == (1, "done")
+
+
 async def test_new_addresses_are_taken_up_while_there_is_no_link_at_all():
     async with Place() as place:
         caller = await (await place.up()).caller()
