Calls that can be left out are spared while one that needs its calls stands long

Excluded: cores (idle meanwhile), reading, the limit of calls on one server (under it), lists (all servers were known by then). Change: one that needs its calls and has stood at them for a quarter of its quoted time has the others spare theirs for one quoted time; in the line at the calls what would be too late after its call goes last. Lines: Control._serve_calls, call_returned.

--- a/nickelslip/admission/control.py
+++ b/nickelslip/admission/control.py
@@ -39,6 +39,7 @@
 MEMORY_PART = 0.97
 CALL_PART = 0.85  # of the calls that are this server's part, in the mean
 CALL_WAIT = 1 / 8  # a wait at the call, of the quoted time, over which a call that can be left out is
+CALL_SPARED = 1 / 4  # at calls for so much of its quoted time, one that needs them has others spare theirs
 CALLS_SLOW = 3.0  # a call that took so many times the best mean yet shows a crowded dependency
 CALLS_KNOWN = 16  # so many recent calls make a mean that can be the best
 CALL_LEAST = 1 / 3  # of this server's part of the calls: what the dependency is worked with while crowded
@@ -162,6 +163,7 @@
         self._lingering: list[float] = []  # when each call given up leaves
         self._call_time = Mean(min(grade.quoted_ms for grade in settings.grades) * CALL_GUESS, span)
         self._call_best, self._call_rest, self._call_limit, self._call_share = inf, now, 1.0, 1.0
+        self._call_spared = now  # until then calls that can be left out are
         self._items: dict[int, Item] = {}
         self._in: dict[State, dict[int, Item]] = {state: {} for state in State}
         self._entries: dict[int, float] = {}  # remembered transactions, and when each is forgotten
@@ -272,6 +274,7 @@
                 self._call_time.learn(now, took_ms)
                 self._size_calls(now, took_ms)
             item.call_ms, item.since = item.call_ms + now - item.since, now
+            self._spare(now, item)
             if outcome is Outcome.OK:
                 self._move(now, item, State.RUNNING, told=False)
             else:
@@ -504,11 +507,14 @@
             return
         self._count_calls(now)
         one, ahead, room = self._call_time.at(now), 0, inf
-        for item in sorted(self._in[State.AT_CALL].values(), key=SORT):
+        for item in sorted(self._in[State.AT_CALL].values(), key=lambda each: (
+                now + one + each.work / 2 > self._judged(each), each.sort)):  # what is too late goes last
             end = self._judged(item) if item.grading.replayable else self._owed(item)
             left = end - self._margin - now - item.work / 2
             wait = ahead * one / self._call_limit + max(0.0, self._call_rest - now)
-            if item.grading.omittable and (left < one or wait > CALL_WAIT * item.grading.quoted):
+            self._spare(now, item)
+            if item.grading.omittable and (left < one or wait > CALL_WAIT * item.grading.quoted
+                                           or now < self._call_spared):
                 self._move(now, item, State.OMITTED)
             elif left <= 0 and item.grading.replayable:
                 self._move(now, item, State.FORFEITED)
@@ -524,6 +530,13 @@
                         item.limit, item.since = now + span, now
                 ahead += item.state is State.AT_CALL
 
+    def _spare(self, now: float, item: Item) -> None:
+        """One that needs its calls has stood there long: for a while, what can do without leaves them to such.
+        It covers a dependency that is slow or shared by more than foreseen, told from one's own line. Harm:
+        a share of the credit where the slowness lay elsewhere, as in a standstill of this server alone."""
+        if not item.grading.omittable and now - item.since + item.call_ms > CALL_SPARED * item.grading.quoted:
+            self._call_spared = now + item.grading.quoted
+
     def _call_room(self, now: float) -> float:
         """Rule 4: the longest call that keeps this server's part in the mean of any coming span."""
         ends = [each.limit - now + self._linger for each in self._in[State.CALLING].values()]
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -189,6 +189,34 @@
     assert world.known[1].answers == 0 and world.at("core") == [1]
 
 
+def test_where_one_that_needs_its_call_stood_long_others_leave_theirs_to_it_for_a_while():
+    world = World(settings(call_share=8.0, cores=8))
+    world.read(1, PAY)
+    assert states(world.call(1)) == [(1, State.CALLING)]
+    world.wait(150)  # over a quarter of its quoted time
+    world.back(1, Outcome.OK)
+    world.read(2, READ)
+    assert states(world.call(2)) == [(2, State.OMITTED)]
+    world.read(3, PAY)
+    assert states(world.call(3)) == [(3, State.CALLING)], "what needs its call still makes it"
+    world.wait(100)
+    world.back(3, Outcome.OK)
+    world.wait(600)
+    world.read(4, READ)
+    assert states(world.call(4)) == [(4, State.CALLING)], "once that is over, all call again"
+
+
+def test_what_stands_too_late_at_the_calls_gives_way_to_what_can_still_be_in_time():
+    world = World(settings(call_share=1.3, cores=4))
+    for ident, wait in ((1, 500.0), (2, 150.0), (3, 450.0)):
+        world.read(ident, PAY, wait=wait)
+        world.call(ident)
+    assert world.at("out") == [1] and world.at("call") == [2, 3]
+    world.wait(100)
+    world.back(1, Outcome.OK)
+    assert world.at("out") == [3]
+
+
 def test_what_can_leave_its_call_out_starts_although_a_line_stands_at_the_calls():
     world = World(settings(call_share=0.0001))
     for ident in (1, 2):
