--- /dev/null
+++ b/nickelslip/coming_up/start.py
@@ -0,0 +1,172 @@
+"""The start of one server, from the first line of its process until it is warm.
+
+Owns one state machine and what follows from its state: how soon a report is due, how many calls may be out to what lies
+below and how long to wait before the next, what weight may be said at most. It sees only what reaches this server. It
+must never do I/O, read a clock, or decide about a transaction: bounds are told to the module, which keeps deciding.
+
+Hundreds of servers that run this at the same time share nothing but the services below. Each asks for little first and
+for more only as answers earn it, so that together they rise no faster than what is below answers.
+"""
+
+from __future__ import annotations
+
+import random
+from enum import Enum
+from math import inf
+
+from nickelslip.coming_up.spread import Pauses, next_in_phase, phase
+
+LAPSE_MS = 3000.0  # after its last report a server is taken off the list, by the directory's page
+REPORTS = 6  # so many reports lie within that time
+LATE_MS = 1.0  # by which the last of them may be late without the server falling off
+TOLD_AGAIN_MS = (60.0, 180.0)  # after a change of health it is told again, in case a report was lost
+FIRST_CALLS = 1.0  # that may be out at once in the beginning
+STEP = 1.5  # by which that grows when a round of them was answered in time
+SLOW = 2.0  # an answer that took so many times the quickest mean yet shows that what lies below is crowded
+ROUND_LEAST = 2  # answers at least to a round
+WEIGHT_FIRST = 0.5  # what is said at most before the first answer from below
+REST_LEAST_MS, REST_MOST_MS = 20.0, 1000.0  # between attempts at records that refuse or fail
+REST_BUDGET, REST_SPAN_MS = 12, 5000.0  # and no more attempts than that in such a time
+FAILS = 3  # calls in a row that failed without a refusal, after which what is below counts as failing
+FORGETS = 1.05  # by which the quickest mean grows with a slow round: what is below may have become slower for good
+
+
+class Step(Enum):
+    """Where a start stands."""
+
+    STARTED = "the process is up; its worker pool is not reached yet"
+    LINKED = "the worker pool is there"
+    LISTED = "the directory has been told"
+    ASKING_LITTLE = "the first calls are out, as few as can be"
+    RISING = "answers come in time, and more calls may be out by steps"
+    WARM = "as many calls may be out as this server's part is; the module alone bounds them"
+    FALLING_BACK = "what lies below refuses or fails: one attempt at a time, with pauses"
+
+
+
+
+class Start:
+    """One start. Times are milliseconds on a clock that only goes forward; `part_calls` is this server's part of what
+    the records survive, as a mean number of calls that are out, or 0 where it makes none. A machine that is not cold
+    starts with all of it."""
+
+    def __init__(self, name: str, seed: int, now: float, part_calls: float, cold: bool, cold_ms: float = 0.0) -> None:
+        self._phase, self._random = phase(name, seed), random.Random(f"start {name} {seed}")
+        self._pauses = Pauses(self._random, REST_LEAST_MS, REST_MOST_MS, REST_BUDGET, REST_SPAN_MS)
+        self.step, self.since, self._cold, self._cold_ms = Step.STARTED, now, cold and part_calls > 0, cold_ms
+        self._part = max(FIRST_CALLS, part_calls)
+        self._calls, self._rest_until = (FIRST_CALLS if self._cold else self._part), now
+        self._pressed = now  # when what is below was last seen slow or failing
+        self._best = inf  # the quickest mean of a round yet
+        self._mean, self._answers, self._slow, self._fails = 0.0, 0, 0, 0  # of the round that goes on
+        self._again: list[float] = []  # when a change is told again
+        self._due = inf
+        self.steps: list[tuple[float, Step]] = [(now, Step.STARTED)]  # for the log and for tests; as long as a start
+
+    def _enter(self, now: float, step: Step) -> None:
+        """The one place where the start changes its step."""
+        if step is not self.step:
+            self.step, self.since = step, now
+            self.steps = [*self.steps[-63:], (now, step)]
+
+    # What happens
+
+    def linked(self, now: float, ago_ms: float) -> None:
+        """The worker pool is reached; it came up so long ago, and the server was listed then."""
+        if self.step is not Step.STARTED:
+            return
+        self._enter(now, Step.LINKED)
+        self._due = next_in_phase(now, self.period_ms, self._phase)
+        if self._due - now + ago_ms > LAPSE_MS - self.period_ms:
+            self._due = now  # its entry would lapse before one more report that may be lost
+
+    def reported(self, now: float) -> None:
+        """A report has gone out."""
+        self._again = [at for at in self._again if at > now]
+        if now >= self._due:
+            self._due = next_in_phase(now, self.period_ms, self._phase)
+        if self.step is Step.LINKED:
+            self._enter(now, Step.LISTED if self._cold else Step.WARM)
+
+    def told(self, now: float) -> None:
+        """A change of health is to be told: at once, and again a little later."""
+        self._again = [now, *(now + span for span in TOLD_AGAIN_MS)]
+
+    def call_out(self, now: float) -> None:
+        """A call goes out to the records."""
+        if self.step in (Step.LINKED, Step.LISTED):
+            self._enter(now, Step.ASKING_LITTLE if self._cold else Step.WARM)
+
+    def look(self, now: float) -> None:
+        """Time has passed. One that has little to call for learns nothing from answers: once a cold machine would be
+        warm, and nothing below was seen slow or failing for as long, it is taken for warm."""
+        if self.step in (Step.LISTED, Step.ASKING_LITTLE, Step.RISING) and now - self._pressed >= self._cold_ms:
+            self._enter(now, Step.WARM)
+
+    def call_answered(self, now: float, took_ms: float) -> None:
+        """A call was answered, after so long."""
+        self._pauses.after_success()
+        self._fails = 0
+        if self.step is Step.FALLING_BACK:
+            self._calls, self._rest_until = FIRST_CALLS, now
+            self._enter(now, Step.ASKING_LITTLE)
+            self._answers = self._slow = 0
+        if self.step in (Step.ASKING_LITTLE, Step.RISING):
+            self._count(now, took_ms)
+
+    def call_failed(self, now: float, refused: bool) -> None:
+        """A call brought no answer: it never got there, or it was lost on its way."""
+        if self.step is Step.STARTED:
+            return
+        self._pressed = now
+        self._fails += 1
+        if not refused and self._fails < FAILS:
+            return
+        self._calls, self._answers, self._slow = FIRST_CALLS, 0, 0
+        self._rest_until = max(self._rest_until, now + self._pauses.after_failure(now))
+        self._enter(now, Step.FALLING_BACK)
+
+    def _count(self, now: float, took_ms: float) -> None:
+        """Judge a round once as many were answered as may be out: with all of them quick, more may be."""
+        self._answers += 1
+        self._slow += took_ms > SLOW * self._best
+        self._mean += (took_ms - self._mean) / self._answers
+        if self._answers < max(ROUND_LEAST, self._calls):
+            return
+        if 2 * self._slow > self._answers:
+            self._calls = max(FIRST_CALLS, self._calls / STEP)
+            self._best, self._pressed = self._best * FORGETS, now
+        else:
+            self._best = min(self._best, self._mean)
+            self._calls = min(self._part, self._calls * STEP)
+        self._answers, self._slow, self._mean = 0, 0, 0.0
+        self._enter(now, Step.WARM if self._calls >= self._part else Step.RISING)
+
+    # What follows
+
+    @property
+    def period_ms(self) -> float:
+        """Between reports: as seldom as the list allows with some of them lost."""
+        return (LAPSE_MS - LATE_MS) / REPORTS
+
+    @property
+    def report_at(self) -> float:
+        """When the next report is due; never while there is no worker pool, since the list would name a server that
+        can do nothing."""
+        return min([self._due, *self._again]) if self.step is not Step.STARTED else inf
+
+    @property
+    def calls_most(self) -> float:
+        """How many calls may be out at once; inf where only the module bounds them."""
+        return inf if self.step is Step.WARM else self._calls
+
+    def rest_ms(self, now: float) -> float:
+        """How long no call is to go out."""
+        return max(0.0, self._rest_until - now)
+
+    @property
+    def weight_most(self) -> float:
+        """The weight that may be said at most."""
+        if self.step is Step.WARM:
+            return 1.0
+        return max(WEIGHT_FIRST, min(1.0, self._calls / self._part)) if self.step is Step.RISING else WEIGHT_FIRST
--- /dev/null
+++ b/tests/test_coming_up.py
@@ -0,0 +1,240 @@
+"""How a server comes up: the state machine in simulated steps, spread, pauses, crash loops and turns."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from math import inf
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from nickelslip.coming_up.crash_file import NAME, CrashFile
+from nickelslip.coming_up.crashes import MOST_MS, Starts
+from nickelslip.coming_up.spread import Pauses, next_in_phase, phase
+from nickelslip.coming_up.start import (
+    FIRST_CALLS, LAPSE_MS, REPORTS, REST_MOST_MS, REST_SPAN_MS, WEIGHT_FIRST, Start, Step,
+)
+from nickelslip.coming_up.turns import Measured, turns
+
+COLD_MS = 4000.0
+
+
+def start(part=4.0, cold=True, name="n7", now=0.0):
+    return Start(name, 1, now, part, cold, COLD_MS)
+
+
+# Spread
+
+
+@pytest.mark.parametrize("names", ([f"n{number}" for number in range(1, 41)],
+                                   [f"n{number}" for number in range(1, 301)],
+                                   [f"riga-{number:03}" for number in range(60, 160)]))
+def test_phases_of_numbered_names_fill_a_period_evenly_whichever_are_there(names):
+    for there in (names, random.Random(1).sample(names, len(names) // 2)):
+        tenths = Counter(int(10 * phase(name, 1)) for name in there)
+        most = 1.5 if there is names else 2.2
+        assert max(tenths.values()) <= most * len(there) / 10
+
+
+def test_names_without_numbers_and_groups_of_names_are_set_apart():
+    assert len({phase(name, 1) for name in ("alpha", "beta", "alpha-1", "beta-1", "gamma-1")}) == 5
+    assert phase("alpha", 1) != phase("alpha", 2) and phase("n3", 1) == phase("n3", 2)
+
+
+def test_acts_in_phase_keep_apart_whatever_moment_they_begin_in_and_come_once_a_period():
+    first = [next_in_phase(1_000_000.0, 500.0, phase(f"n{number}", 1)) for number in range(1, 101)]
+    assert max(Counter(int(at // 50) for at in first).values()) <= 16
+    at = next_in_phase(12.0, 500.0, 0.4)
+    assert at == pytest.approx(200.0) and next_in_phase(at, 500.0, 0.4) == pytest.approx(700.0)
+
+
+@given(st.integers(0, 10**6), st.lists(st.tuples(st.booleans(), st.floats(0, 300)), max_size=200))
+@settings(derandomize=True, deadline=None)
+def test_pauses_keep_their_bounds_and_the_budget_in_any_order_of_success_and_failure(seed, events):
+    pauses, now, made = Pauses(random.Random(seed), 20.0, 1000.0, 5, 2000.0), 0.0, []
+    for failed, wait in events:
+        if failed:
+            pause = pauses.after_failure(now)
+            made.append(now)
+            assert 20.0 <= pause <= 2000.0
+            now += pause
+        else:
+            pauses.after_success()
+            now += wait
+    assert all(later - made[at] >= 2000.0 - 1e-6 for at, later in enumerate(made[5:]))
+
+
+# The start
+
+
+def warm_up(one, now, took=10.0, until=60_000.0):
+    """What is below answers every call in the same time; when the start is warm."""
+    while one.step is not Step.WARM and now < until:
+        now = max(now, now + one.rest_ms(now))
+        one.look(now)
+        if one.step in (Step.STARTED,):
+            one.linked(now, 0.0)
+        if one.report_at <= now:
+            one.reported(now)
+        one.call_out(now)
+        now += took
+        one.call_answered(now, took)
+    return now
+
+
+def test_a_cold_start_asks_little_first_and_for_more_as_rounds_are_answered_in_time():
+    one = start()
+    assert one.report_at == inf and one.step is Step.STARTED
+    one.linked(0.0, 0.0)
+    one.reported(one.report_at)
+    one.call_out(500.0)
+    assert one.step is Step.ASKING_LITTLE and one.calls_most == FIRST_CALLS and one.weight_most == WEIGHT_FIRST
+    seen = []
+    for at in range(40):
+        one.call_answered(510.0 + 10 * at, 10.0)
+        seen.append(one.calls_most)
+    assert seen == sorted(seen) and one.step is Step.WARM and one.calls_most == inf and one.weight_most == 1.0
+    assert max(each for each in seen if each < inf) < 4.0
+
+
+def test_slow_rounds_take_the_step_back_and_a_service_slower_for_good_is_got_used_to():
+    one = start(part=8.0)
+    one.linked(0.0, 0.0)
+    one.call_out(0.0)
+    for at in range(6):
+        one.call_answered(10.0 * at, 10.0)
+    grown = one.calls_most
+    assert grown > FIRST_CALLS
+    for at in range(30):
+        one.call_answered(100.0 + 40 * at, 40.0)
+    assert one.calls_most == FIRST_CALLS and one.step is Step.RISING
+    assert warm_up(one, 2000.0, took=40.0) < 60_000.0
+
+
+def test_refused_calls_make_one_attempt_at_a_time_with_pauses_and_the_first_answer_ends_that():
+    one = start()
+    one.linked(0.0, 0.0)
+    one.call_out(0.0)
+    now, tries = 0.0, 0
+    while now < 20_000.0:
+        one.call_failed(now, refused=True)
+        tries += 1
+        assert one.step is Step.FALLING_BACK and one.calls_most == FIRST_CALLS and one.rest_ms(now) > 0
+        now += one.rest_ms(now)
+    assert tries <= 1 + 20_000.0 / REST_SPAN_MS * 12
+    one.call_answered(now, 10.0)
+    assert one.step is Step.ASKING_LITTLE and one.rest_ms(now) == 0.0
+
+
+def test_a_lone_call_lost_is_no_failing_service():
+    one = start()
+    one.linked(0.0, 0.0)
+    one.call_out(0.0)
+    one.call_failed(10.0, refused=False)
+    assert one.step is Step.ASKING_LITTLE
+    for at in range(3):
+        one.call_failed(20.0 + at, refused=False)
+    assert one.step is Step.FALLING_BACK
+
+
+def test_a_machine_that_is_not_cold_or_makes_no_calls_is_warm_with_its_first_report():
+    for one in (start(cold=False), start(part=0.0)):
+        one.linked(0.0, 0.0)
+        assert one.weight_most <= 1.0
+        one.reported(one.report_at)
+        assert one.step is Step.WARM and one.calls_most == inf
+
+
+def test_one_that_has_little_to_call_for_is_warm_in_time_unless_below_is_seen_slow():
+    one = start()
+    one.linked(0.0, 0.0)
+    one.reported(one.report_at)
+    one.look(COLD_MS - 1)
+    assert one.step is Step.LISTED
+    one.look(COLD_MS)
+    assert one.step is Step.WARM
+
+
+def test_reports_are_in_phase_six_to_a_lapse_at_once_where_an_entry_runs_out_and_told_again_on_a_change():
+    one = start()
+    one.linked(1000.0, 0.0)
+    first = one.report_at
+    assert 1000.0 < first <= 1000.0 + one.period_ms
+    one.reported(first)
+    assert one.report_at == pytest.approx(first + one.period_ms) and REPORTS * one.period_ms < LAPSE_MS
+    one.told(first + 1)
+    times = []
+    while len(times) < 4:
+        times.append(one.report_at)
+        one.reported(times[-1])
+    assert times[:3] == [first + 1, first + 61, first + 181] and times[3] == pytest.approx(first + one.period_ms)
+    late = start()
+    late.linked(1000.0, 2900.0)
+    assert late.report_at == 1000.0
+
+
+EVENTS = st.lists(st.tuples(st.sampled_from(("linked", "reported", "told", "out", "answered", "slow", "lost", "refused",
+                                             "look")), st.floats(0, 500)), max_size=80)
+
+
+@given(EVENTS, st.floats(0.0, 9.0), st.booleans())
+@settings(derandomize=True, deadline=None, max_examples=300)
+def test_from_any_events_in_any_order_a_start_keeps_its_bounds_and_gets_warm_once_below_is_well(events, part, cold):
+    one, now = start(part, cold), 0.0
+    act = {"linked": lambda at: one.linked(at, 100.0), "reported": one.reported, "told": one.told, "out": one.call_out,
+           "answered": lambda at: one.call_answered(at, 10.0), "slow": lambda at: one.call_answered(at, 300.0),
+           "lost": lambda at: one.call_failed(at, False), "refused": lambda at: one.call_failed(at, True),
+           "look": one.look}
+    for what, wait in events:
+        now += wait
+        act[what](now)
+        assert one.calls_most >= FIRST_CALLS and (one.calls_most == inf or one.calls_most <= max(FIRST_CALLS, part))
+        assert 0 < one.weight_most <= 1 and 0 <= one.rest_ms(now) <= max(REST_MOST_MS, REST_SPAN_MS)
+        assert one.report_at == inf if one.step is Step.STARTED else one.report_at <= now + one.period_ms + 1e-6
+    assert warm_up(one, now, until=now + 60_000.0) < now + 60_000.0 and one.step is Step.WARM
+    assert len(one.steps) <= 64
+
+
+# Crash loops
+
+
+def test_early_deaths_in_a_row_come_back_ever_less_often_and_a_restart_by_hand_at_once():
+    chance, starts, now, waits = random.Random(1), Starts(), 1e12, []
+    for _ in range(12):
+        starts = starts.again(now)
+        waits.append(starts.pause_ms(chance))
+        now += waits[-1] + 1000
+    assert waits[:2] == [0.0, 0.0] and 0 < waits[2] < waits[5] < waits[8] and max(waits) <= MOST_MS
+    assert starts.well().again(now).pause_ms(chance) == 0.0
+
+
+@pytest.mark.parametrize("text", ("", "{", "[]", '{"version": 2, "row": 9, "begun": 1, "lasted": false}', "[" * 900,
+                                  '{"version": 1, "row": -1, "begun": 1, "lasted": false}',
+                                  '{"version": 1, "row": 9, "begun": 1e999, "lasted": false}', "\xff" * 2000))
+def test_a_file_of_starts_that_cannot_be_understood_keeps_nothing_down(tmp_path, text):
+    warned = []
+    log = type("Log", (), {"warning": lambda self, *words, **more: warned.append(more)})()
+    (tmp_path / NAME).write_text(text, encoding="latin-1")
+    file = CrashFile(str(tmp_path), log)
+    assert file.read() == Starts() and warned
+    file.write(Starts(3, 5.0, False))
+    assert file.read() == Starts(3, 5.0, False)
+    CrashFile(str(tmp_path / "gone"), log).write(Starts())
+    assert len(warned) == 2
+
+
+# Turns
+
+
+def test_turns_are_bound_by_cores_or_by_calls_and_refused_where_not_one_may_go():
+    told = Measured(servers=100, load=0.6, cold_from=0.2, cold_ms=18_000.0, away_ms=3000.0)
+    plan = turns(told)
+    assert (plan.at_once, plan.bound_by, plan.turns) == (35, "cores", 3) and plan.all_ms == pytest.approx(63_000.0)
+    crowded = Measured(100, 0.6, 0.2, 18_000.0, 3000.0, calls=200.0, calls_survived=240.0, cold_calls=3.0)
+    assert turns(crowded).bound_by == "calls" and turns(crowded).at_once == 20
+    for bad in (Measured(3, 0.8, 0.2, 1.0, 1.0), Measured(0, 0.1, 0.2, 1.0, 1.0),
+                Measured(10, 0.1, 0.2, 1.0, 1.0, calls=50.0, calls_survived=50.0, cold_calls=2.0)):
+        with pytest.raises(ValueError):
+            turns(bad)
--- /dev/null
+++ b/tests/test_emulator.py
@@ -0,0 +1,280 @@
+"""The rig itself: models in simulated time, links, checkers that find what is planted, schedules, and nothing left."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import subprocess
+import sys
+from math import inf
+from pathlib import Path
+
+import pytest
+
+from nickelslip.emulator import checkers
+from nickelslip.emulator.fleet import Fleet, NotInTime, Plan
+from nickelslip.emulator.history import Event, History, Kind
+from nickelslip.emulator.links import Course, Fate, Faults, Lane
+from nickelslip.emulator.models import Jobs, Level, Listing, Machine, MachineKind, Service, ServiceKind
+from nickelslip.emulator.play import play
+from nickelslip.emulator.processes import alive
+from nickelslip.emulator.schedule import BadSchedule, Step, checked, drawn
+
+ROOT = Path(__file__).parent.parent
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio", {"use_uvloop": True}
+
+
+# Models
+
+
+def test_a_mean_over_a_span_forgets_what_lies_before_it():
+    level = Level(100.0, 0.0)
+    level.set(0.0, 4.0)
+    assert level.mean(50.0) == pytest.approx(2.0) and level.mean(100.0) == pytest.approx(4.0)
+    level.set(150.0, 0.0)
+    assert level.mean(200.0) == pytest.approx(2.0) and level.mean(260.0) == pytest.approx(0.0)
+
+
+def test_jobs_share_a_speed_and_end_in_the_order_of_what_is_left():
+    jobs = Jobs(0.0, lambda now, number: 1 / number)
+    jobs.add(0.0, "a", 10.0)
+    jobs.add(5.0, "b", 3.0)
+    assert jobs.next_at() == pytest.approx(11.0)  # 3 of work at half the speed, before the 5 that a has left
+    assert jobs.finished(11.0) == ["b"] and jobs.finished(12.0) == [] and jobs.finished(13.0) == ["a"]
+    jobs.add(20.0, "c", 5.0)
+    assert jobs.drop(22.0, "c") and not jobs.drop(22.0, "c") and jobs.next_at() == inf
+
+
+def test_a_cold_machine_is_slower_calls_more_and_falls_sooner():
+    kind = MachineKind(cores=2, cold_from=0.25, cold_ms=1000.0, cold_calls=3.0, fall_multiple=5.0, fall_ms=100.0)
+    cold, warm = Machine(kind, 0.0), Machine(kind, -1000.0)
+    assert cold.calls_factor(0.0) == pytest.approx(2.5) and warm.calls_factor(0.0) == 1.0
+    for machine in (cold, warm):
+        for key in range(7):
+            machine.start(0.0, key, 1e6)
+        machine.finished(100.0)
+    assert cold.fell and not warm.fell
+
+
+def test_a_service_over_what_it_survives_goes_down_loses_its_calls_and_says_for_how_long_it_was():
+    service = Service(ServiceKind(slots=2, call_ms=10.0, survives=4.0, span_ms=100.0, down_ms=500.0), 0.0)
+    for key in range(8):
+        service.begin(0.0, key, 1e6)
+    for at in range(10, 200, 10):
+        service.finished(float(at))
+    assert service.falls == 1 and service.down(199.0) and service.over_ms > 0 and service.in_hand(199.0) == 0
+    assert not service.down(900.0)
+
+
+def test_calls_given_up_stay_in_a_services_hands_for_a_while():
+    service = Service(ServiceKind(linger_ms=50.0), 0.0)
+    service.begin(0.0, "a", 100.0)
+    service.give_up(1.0, "a")
+    assert service.in_hand(50.0) == 1 and service.in_hand(52.0) == 0
+
+
+def test_a_list_lapses_hears_nothing_while_it_is_down_and_may_come_back_empty():
+    listing = Listing(3000.0)
+    assert listing.report(0.0, "n1") and listing.listed(3000.0) == ["n1"] and listing.listed(3001.0) == []
+    listing.report(4000.0, "n1")
+    listing.down(5000.0)
+    assert listing.listed(60_000.0) == ["n1"] and not listing.report(60_000.0, "n2")
+    listing.up(61_000.0)
+    assert listing.listed(64_000.0) == ["n1"]
+    listing.down(64_000.0)
+    listing.up(65_000.0, empty=True)
+    assert listing.listed(65_000.0) == []
+
+
+# Links
+
+
+def test_a_lane_loses_and_doubles_as_often_as_it_is_told():
+    lane = Lane(random.Random(1), Faults(lost=0.25, doubled=0.1))
+    times = [len(lane.datagram(0.0)) for _ in range(4000)]
+    assert 0.22 < times.count(0) / 4000 < 0.28 and 0.06 < times.count(2) / 4000 < 0.09
+    lane.set(0.0, cut=True)
+    assert lane.datagram(1.0) == []
+
+
+def test_a_course_resets_or_goes_silent_at_its_byte_and_keeps_the_order_of_what_is_delayed():
+    course = Course(Lane(random.Random(1), Faults(delay_ms=10.0, jitter_ms=50.0, reset_after=25.0)))
+    first, second = course.piece(0.0, 10), course.piece(1.0, 10)
+    assert second[1] >= first[1] >= 10.0 and course.piece(2.0, 10)[::2] == (5, Fate.RESET)
+    course = Course(Lane(random.Random(1), Faults(half_open_after=0.0)))
+    assert course.piece(0.0, 10)[::2] == (0, Fate.HALF_OPEN)
+
+
+# Checkers
+
+
+def told(*events):
+    return History(Event(at, kind, "n1", ident, detail) for at, kind, ident, detail in events)
+
+
+GOOD = ((0.0, Kind.STARTED, "", None), (1000.0, Kind.WRITTEN, "a1", ["pay", "", 2000.0]),
+        (1100.0, Kind.RUN, "a1", "pay"), (1500.0, Kind.ANSWERED, "a1", ["done", True]),
+        (9000.0, Kind.FAULT, "", "the end"))
+LEAVES = (900.0, Kind.TOLD_TO_LEAVE, "", None)
+
+
+def without(kind):
+    return tuple(each for each in GOOD if each[1] is not kind)
+
+
+@pytest.mark.parametrize(("rule", "events"), (
+    ("duplicate", (*GOOD, (1600.0, Kind.ANSWERED, "a1", ["done", True]))),
+    ("duplicate", (*GOOD, (1200.0, Kind.RUN, "a1", "pay"))),
+    ("duplicate", (*without(Kind.ANSWERED), (1600.0, Kind.ANSWERED, "a1", ["later", False]))),
+    ("duplicate", (*GOOD, *((at, kind, ident, detail) for ident in ("b1", "b2") for at, kind, detail in (
+        (1000.0, Kind.WRITTEN, ["book", "m", 2000.0]), (1100.0, Kind.RUN, "book"),
+        (1200.0, Kind.ANSWERED, ["done", True]))))),
+    ("lost", without(Kind.ANSWERED)),
+    ("lost", (*without(Kind.ANSWERED), (2300.0, Kind.ANSWERED, "a1", ["done", True]))),
+    ("lost", (*without(Kind.ANSWERED), (1500.0, Kind.ANSWERED, "a1", ["done", False]))),
+    ("lost", without(Kind.RUN)),
+    ("lost", (*without(Kind.ANSWERED), LEAVES, (1900.0, Kind.ENDED, "", 0))),
+    ("drain", (*GOOD, (100.0, Kind.TOLD_TO_LEAVE, "", None)))))
+def test_the_checker_of_the_rules_finds_a_planted_breach_and_nothing_else(rule, events):
+    check = {"replayable": ["read"], "grace_ms": 300.0, "slack_ms": 100.0, "window_ms": 4000.0}
+    assert checkers.rules(told(*GOOD), **check) == []
+    found = checkers.rules(History(sorted(told(*events).events, key=lambda each: each.at)), **check)
+    assert found and {line.split(":")[0] for line in found} == {rule}, found
+
+
+@pytest.mark.parametrize("excuse", (
+    (1600.0, Kind.GONE, "a1", None), (1010.0, Kind.CROSSED, "a1", None), (1700.0, Kind.KILLED, "", "a fault"),
+    (1700.0, Kind.CUT, "", "pool OUT"), (1700.0, Kind.STOPPED, "", None)))
+def test_what_nobody_is_owed_is_not_found_lost(excuse):
+    events = sorted((*without(Kind.ANSWERED), excuse), key=lambda each: each[0])
+    assert checkers.rules(told(*events), ["read"], 300.0, 100.0) == []
+
+
+def test_checkers_of_a_whole_fleet_find_what_is_planted():
+    at = [Event(float(100 * number), Kind.CALL, f"n{number}", "", 0) for number in range(10)]
+    assert checkers.sum_over(at, lambda event: 1.0, 10.0) == []
+    assert len(checkers.sum_over(at, lambda event: 1.0, 7.0)) == 3
+    assert checkers.at_most([(0, 10), (5, 15), (20, 30)], 2) == [] and checkers.at_most([(0, 10), (5, 15)], 1)
+    assert checkers.at_most([(0, 10), (10, 20)], 1) == [], "one that ends as the next begins does not overlap it"
+    assert checkers.peak_over_mean(at, 100.0, 0.0, 1000.0) == pytest.approx(1.0)
+    assert checkers.peak_over_mean([*at, *at[:1]], 100.0, 0.0, 1000.0) == pytest.approx(20 / 11)
+    listed = History([Event(0.0, Kind.LISTED, "", "", ["n1", "n2"]), Event(100.0, Kind.LISTED, "", "", ["n1"])])
+    assert checkers.unlisted(listed, ["n1", "n2"], 0.0, 1000.0) == 1
+    ends = History([Event(0.0, Kind.STARTED, "n1", "", None), Event(5.0, Kind.ENDED, "n1", "", 0)])
+    assert checkers.bad_ends(ends), "it was not told to leave"
+
+
+def test_a_history_comes_back_from_its_file_and_joins_in_the_order_of_time(tmp_path):
+    first, second = told(*GOOD[:2]), told(*GOOD[2:])
+    first.save(tmp_path / "one")
+    assert History.joined([second, History.load(tmp_path / "one")]).events == told(*GOOD).events
+
+
+# Schedules
+
+
+def test_a_schedule_is_refused_with_every_fault_and_its_place():
+    with pytest.raises(BadSchedule) as refused:
+        checked([{"at_ms": -1, "do": "kill", "servers": ["n9"]}, {"at_ms": 5, "do": "cut", "servers": {"part": 0.5}},
+                 {"at_ms": 0, "do": "burn"}, {"at_ms": 0, "do": "reload", "servers": ["n1"], "for_ms": 3}],
+                ["n1", "n2"])
+    text = str(refused.value)
+    for place in ("[0].at_ms", "[0].servers", "[1].for_ms", "[2].do", "[3].for_ms: is no word of reload"):
+        assert f"schedule{place}" in text
+
+
+def test_a_schedule_chooses_by_name_part_and_zone_and_is_the_same_for_a_seed():
+    names = [f"n{number}" for number in range(9)]
+    value = [{"at_ms": 9, "do": "cut", "servers": {"zone": 1}, "for_ms": 5, "ways": ["OUT"]},
+             {"at_ms": 3, "do": "kill", "servers": {"part": 0.5}}]
+    steps = checked(value, names, seed=4)
+    assert [step.do for step in steps] == ["kill", "cut"] and steps == checked(value, names, seed=4)
+    assert len(steps[0].servers) == 4 and steps[1].servers == ("n1", "n4", "n7")
+    assert drawn(names, 20_000.0, 5) == drawn(names, 20_000.0, 5) != drawn(names, 20_000.0, 6)
+    for seed in range(30):
+        assert all(step.at_ms + step.values.get("for_ms", 0) <= 18_000 for step in drawn(names, 20_000.0, seed))
+
+
+# Processes
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("seed", (3, 8))
+async def test_drawn_faults_break_no_rule_and_what_was_done_stands_in_the_history(tmp_path, seed):
+    async with Fleet(Plan(size=4, seed=seed), tmp_path) as fleet:
+        await fleet.start()
+        await fleet.up()
+        await fleet.ask()
+        steps = drawn(fleet.names, 5000.0, seed, every_ms=600.0)
+        await play(fleet, steps)
+        await fleet.up()
+        await fleet.quiet()
+        assert not fleet.broken(scripted_falls=True), "\n".join(fleet.broken(scripted_falls=True)[:20])
+        done = [event.detail.split()[0] for event in fleet.history.of(Kind.FAULT)]
+        assert all(step.do in done for step in steps)
+    assert not fleet.left_behind()
+
+
+@pytest.mark.anyio
+async def test_a_relay_cuts_one_way_and_a_process_that_stands_still_serves_again(tmp_path):
+    async with Fleet(Plan(size=3), tmp_path) as fleet:
+        await fleet.start()
+        await fleet.up()
+        await fleet.cut("n1", link="directory", ways=["OUT"])
+        await fleet.await_that(lambda: "n1" not in fleet.here.directory.listed(), 5.0)
+        await fleet.heal("n1", link="directory", ways=["OUT"])
+        await fleet.await_that(lambda: "n1" in fleet.here.directory.listed(), 2.0)
+        await fleet.ask()
+        await play(fleet, [Step(0.0, "stand_still", ("n2",), {"for_ms": 1500.0})])
+        await asyncio.sleep(0.5)
+        with pytest.raises(NotInTime):
+            await fleet.await_that(lambda: False, 0.1, "what never comes")
+        await fleet.quiet()
+        assert not fleet.broken(), "\n".join(fleet.broken()[:20])
+
+
+@pytest.mark.anyio
+async def test_surroundings_in_processes_of_their_own_tell_the_same_history(tmp_path):
+    async with Fleet(Plan(size=3, relayed=False, hosts=1), tmp_path) as fleet:
+        await fleet.start()
+        await fleet.ask()
+        await asyncio.sleep(2.0)
+        await fleet.kill("n1")
+        await fleet.start("n1")
+        await asyncio.sleep(1.0)
+        await fleet.quiet()
+        assert (await fleet.do("figures"))["records_calls"] > 0
+    assert not fleet.broken() and fleet.share(fleet.history.events[0].at + 1000) > 0.5
+    assert {event.kind for event in fleet.history.events} >= {Kind.RUN, Kind.ANSWERED, Kind.REPORT, Kind.LINKED}
+    assert not fleet.left_behind()
+
+
+RIG = """
+import asyncio, sys
+from nickelslip.emulator.fleet import Fleet, Plan
+async def main():
+    async with Fleet(Plan(size=3, hosts=1, relayed=False)) as fleet:
+        await fleet.start()
+        print(*fleet.pids, *(host.pid for host in fleet._hosts), flush=True)
+        await asyncio.sleep(60)
+asyncio.run(main())
+"""
+
+
+@pytest.mark.parametrize("number", (signal.SIGKILL, signal.SIGINT))
+def test_nothing_outlives_a_rig_that_is_killed_or_interrupted(number):
+    rig = subprocess.Popen([sys.executable, "-c", RIG], cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL)
+    pids = [int(each) for each in rig.stdout.readline().split()]
+    assert len(pids) == 5 and alive(pids) == pids
+    rig.send_signal(number)
+    rig.wait(20)
+    for _ in range(100):
+        if not alive(pids):
+            break
+        signal.sigtimedwait((), 0.05)
+    assert not alive(pids)
