A cold start by steps: reports in phase, few calls first, pauses drawn, crash loops wait

Need: hundreds of servers that start in one second each behave well alone and together flatten what they share. Seen at: a report every 250 ms in step with the start, also from servers without a worker pool; all of the part of the calls at once from the first moment; a refused records service tried again after each mean call by every transaction that stands there. The module takes the bounds in one call (Control.bound). serve loads no command line, no layers, and looks through no garbage: deploy/serve.py.

--- a/nickelslip/admission/control.py
+++ b/nickelslip/admission/control.py
@@ -164,6 +164,7 @@
         self._call_time = Mean(min(grade.quoted_ms for grade in settings.grades) * CALL_GUESS, span)
         self._call_best, self._call_rest, self._call_limit, self._call_share = inf, now, 1.0, 1.0
         self._call_spared = now  # until then calls that can be left out are
+        self._call_most, self._weight_most = inf, 1.0  # bounds from outside, while the server comes up
         self._items: dict[int, Item] = {}
         self._in: dict[State, dict[int, Item]] = {state: {} for state in State}
         self._entries: dict[int, float] = {}  # remembered transactions, and when each is forgotten
@@ -285,6 +286,13 @@
                     self._move(now, item, State.OMITTED if item.grading.omittable else State.FORFEITED)
         return self._decide(now)
 
+    def bound(self, now: float, calls: float, rest_ms: float, weight: float) -> Result:
+        """While this server comes up, or what lies below fails: as many calls may be out, none goes out
+        for so long, and so much weight is said at most."""
+        self._call_most, self._weight_most = calls, weight
+        self._call_rest = max(self._call_rest, now + rest_ms)
+        return self._decide(now)
+
     def caller_gone(self, now: float, ident: int) -> Result:
         """Nothing is owed any more."""
         item = self._items.get(ident)
@@ -502,7 +510,8 @@
 
     def _serve_calls(self, now: float) -> None:
         """Leave to call, most credit for its work first; what cannot goes on without or is given up."""
-        free = len(self._in[State.CALLING]) + len(self._lingering) + 1 <= max(1.0, self._call_limit)
+        most = min(self._call_limit, self._call_most)
+        free = len(self._in[State.CALLING]) + len(self._lingering) + 1 <= max(1.0, most)
         if not self._in[State.AT_CALL] or (now > self._looked and not free):  # a long line, too, once a tick
             return
         self._count_calls(now)
@@ -511,7 +520,7 @@
                 now + one + each.work / 2 > self._judged(each), each.sort)):  # what is too late goes last
             end = self._judged(item) if item.grading.replayable else self._owed(item)
             left = end - self._margin - now - item.work / 2
-            wait = ahead * one / self._call_limit + max(0.0, self._call_rest - now)
+            wait = ahead * one / most + max(0.0, self._call_rest - now)
             self._spare(now, item)
             if item.grading.omittable and (left < one or wait > CALL_WAIT * item.grading.quoted
                                            or now < self._call_spared):
@@ -520,7 +529,7 @@
                 self._move(now, item, State.FORFEITED)
             elif item.limit <= now and self._call_rest <= now:
                 out = len(self._in[State.CALLING])
-                fits = out + len(self._lingering) + 1 <= max(1.0, self._call_limit)
+                fits = out + len(self._lingering) + 1 <= max(1.0, most)
                 if fits and room >= one and self._on_cores() + out < CROWD_PART * self._crowd(now):
                     room = self._call_room(now)  # it costs a look at all calls: once no one fits, none does
                     if room >= one:
@@ -531,7 +540,7 @@
                 ahead += item.state is State.AT_CALL
 
     def _spare(self, now: float, item: Item) -> None:
-        """One that needs its calls has stood there long: for a while, what can do without leaves them to such.
+        """One that needs its calls has stood there long: for a while, what can do without leaves them to it.
         It covers a dependency that is slow or shared by more than foreseen, told from one's own line. Harm:
         a share of the credit where the slowness lay elsewhere, as in a standstill of this server alone."""
         if not item.grading.omittable and now - item.since + item.call_ms > CALL_SPARED * item.grading.quoted:
@@ -571,7 +580,7 @@
 
     def _speak(self, now: float) -> None:
         """Outward words that changed: the weight in the callers' meaning, and the next wake."""
-        weight = 0.0 if now >= self._drain_at + self._grace else self._weight
+        weight = 0.0 if now >= self._drain_at + self._grace else min(self._weight, self._weight_most)
         if weight != self._said and self._said_as is not Said.NOTHING:
             self._result.said = {Said.CHANCE: weight, Said.SLOTS: weight * self._slots_each,
                                  Said.RANK: 1 - weight}[self._said_as]
--- a/nickelslip/coming_up/start.py
+++ b/nickelslip/coming_up/start.py
@@ -17,8 +17,8 @@
 from nickelslip.coming_up.spread import Pauses, next_in_phase, phase
 
 LAPSE_MS = 3000.0  # after its last report a server is taken off the list, by the directory's page
-REPORTS = 6  # so many reports lie within that time
-LATE_MS = 1.0  # by which the last of them may be late without the server falling off
+REPORTS = 6  # to that time
+OVER_MS = 1.0  # further apart: with five in a row lost the sixth comes so much after the lapse
 TOLD_AGAIN_MS = (60.0, 180.0)  # after a change of health it is told again, in case a report was lost
 FIRST_CALLS = 1.0  # that may be out at once in the beginning
 STEP = 1.5  # by which that grows when a round of them was answered in time
@@ -58,7 +58,8 @@
         self._calls, self._rest_until = (FIRST_CALLS if self._cold else self._part), now
         self._pressed = now  # when what is below was last seen slow or failing
         self._best = inf  # the quickest mean of a round yet
-        self._mean, self._answers, self._slow, self._fails = 0.0, 0, 0, 0  # of the round that goes on
+        self._mean, self._answers, self._slow = 0.0, 0, 0  # of the round: of its quick ones, all, slow ones
+        self._fails = 0  # calls in a row that brought no answer
         self._again: list[float] = []  # when a change is told again
         self._due = inf
         self.steps: list[tuple[float, Step]] = [(now, Step.STARTED)]  # for the log and for tests; as long as a start
@@ -103,8 +104,13 @@
         if self.step in (Step.LISTED, Step.ASKING_LITTLE, Step.RISING) and now - self._pressed >= self._cold_ms:
             self._enter(now, Step.WARM)
 
+    def take_part(self, part_calls: float) -> None:
+        """This server's part of the calls has been changed."""
+        self._part = max(FIRST_CALLS, part_calls)
+        self._calls = min(self._calls, self._part)
+
     def call_answered(self, now: float, took_ms: float) -> None:
-        """A call was answered, after so long."""
+        """A call was answered, after so long; inf for one that was turned away or given up: slow in any case."""
         self._pauses.after_success()
         self._fails = 0
         if self.step is Step.FALLING_BACK:
@@ -129,8 +135,10 @@
     def _count(self, now: float, took_ms: float) -> None:
         """Judge a round once as many were answered as may be out: with all of them quick, more may be."""
         self._answers += 1
-        self._slow += took_ms > SLOW * self._best
-        self._mean += (took_ms - self._mean) / self._answers
+        if took_ms == inf or took_ms > SLOW * self._best:
+            self._slow += 1
+        else:
+            self._mean += (took_ms - self._mean) / (self._answers - self._slow)
         if self._answers < max(ROUND_LEAST, self._calls):
             return
         if 2 * self._slow > self._answers:
@@ -147,7 +155,7 @@
     @property
     def period_ms(self) -> float:
         """Between reports: as seldom as the list allows with some of them lost."""
-        return (LAPSE_MS - LATE_MS) / REPORTS
+        return LAPSE_MS / REPORTS + OVER_MS
 
     @property
     def report_at(self) -> float:
--- a/nickelslip/configuration/config.py
+++ b/nickelslip/configuration/config.py
@@ -54,6 +54,7 @@
     settings: Settings
     gauges: tuple[str, ...]
     changes: ChangeRules = field(default_factory=ChangeRules)
+    starts: str = ""  # a folder where starts that died early are remembered; empty: they are not
 
 
 def address_from(text: str, name: str) -> Address:
--- a/nickelslip/configuration/document.py
+++ b/nickelslip/configuration/document.py
@@ -255,7 +255,7 @@
         records=None if peers["records"] is None else address_from(peers["records"], "records"),
         directory=address_from(peers["directory"], "directory"), seed=int(node["seed"], 16), stop_ms=node["stop_ms"],
         memory_mb=node["memory_mb"], descriptors=node["descriptors"], settings=settings, gauges=machine["gauges"],
-        changes=rules)
+        changes=rules, starts=node["starts"])
 
 
 def _address(address: tuple[str, int] | None) -> str | None:
@@ -274,7 +274,8 @@
     most = settings.running_most
     return {
         "node": {"name": config.name, "listen": _address(config.listen), "seed": f"{config.seed:x}",
-                 "stop_ms": config.stop_ms, "memory_mb": config.memory_mb, "descriptors": config.descriptors},
+                 "stop_ms": config.stop_ms, "memory_mb": config.memory_mb, "descriptors": config.descriptors,
+                 "starts": config.starts},
         "peers": {"pool": _address(config.pool), "records": _address(config.records),
                   "directory": _address(config.directory)},
         "machine": {
--- a/nickelslip/configuration/faults.py
+++ b/nickelslip/configuration/faults.py
@@ -12,6 +12,7 @@
 from nickelslip.settings import Malformed
 
 Path = tuple[str, ...]
+BYTES_MOST = 512 * 1024  # of a text
 FAULTS_MOST = 100  # reported of one document: the rest is a number
 
 
--- a/nickelslip/configuration/generations.py
+++ b/nickelslip/configuration/generations.py
@@ -15,7 +15,6 @@
 
 from nickelslip.admission.interface import Repeat, Settings
 from nickelslip.configuration.config import Config
-from nickelslip.configuration.schema import NEVER_COMPARED
 
 RESULTS_PART = 1 / 4  # of this process's memory, for results that repeats may still ask for
 ENTRY_KB = 6.0  # an entry of the table in this process, with a result of the largest size
@@ -60,6 +59,7 @@
 
 def canonical(document: Mapping[str, Any]) -> bytes:
     """The one text of a whole document, without what is never compared."""
+    from nickelslip.configuration.schema import NEVER_COMPARED  # needed only where changes are taken
     bare = {section: {name: value for name, value in inner.items() if (section, name) not in NEVER_COMPARED}
             for section, inner in document.items()}
     return json.dumps(bare, sort_keys=True, separators=(",", ":"), ensure_ascii=False).encode()
--- a/nickelslip/configuration/loading.py
+++ b/nickelslip/configuration/loading.py
@@ -10,13 +10,15 @@
 import os
 import time
 from collections.abc import Mapping, Sequence
+from typing import TYPE_CHECKING
 
 from nickelslip.configuration.config import Config, config_of
-from nickelslip.configuration.faults import Fault, Faulty
-from nickelslip.configuration.layers import Layered, layered
-from nickelslip.configuration.text import BYTES_MOST, read_text
+from nickelslip.configuration.faults import BYTES_MOST, Fault, Faulty
 from nickelslip.settings import Malformed
 
+if TYPE_CHECKING:
+    from nickelslip.configuration.layers import Layered
+
 TRIES, PAUSE_S = 3, 0.05
 
 
@@ -40,6 +42,8 @@
 
 def load_layers(paths: Sequence[str], environment: Mapping[str, str], places: bool = True) -> Layered:
     """All layers: the files in their order, then the environment. Raises Faulty."""
+    from nickelslip.configuration.layers import layered  # the long way: most starts never take it
+    from nickelslip.configuration.text import read_text
     texts, faults = [], []
     for path in paths:
         try:
--- a/nickelslip/configuration/schema.py
+++ b/nickelslip/configuration/schema.py
@@ -82,6 +82,8 @@
     _number("stop_ms", _A, says="from the notice to leave to the kill", above=True, most=SPAN_MOST_MS),
     _number("memory_mb", _R, says="of this process", above=True),
     _whole("descriptors", _A, says="of this process", least=32),
+    Word("starts", Kind.TEXT, _R, "", says="a folder that outlives the server, where early deaths are remembered; "
+                                           "empty: they are not"),
 )
 PEERS = (
     Word("pool", Kind.ADDRESS, _L, says="the worker pool"),
--- a/nickelslip/configuration/text.py
+++ b/nickelslip/configuration/text.py
@@ -10,9 +10,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from nickelslip.configuration.faults import Fault, Faulty, Path
+from nickelslip.configuration.faults import BYTES_MOST, Fault, Faulty, Path
 
-BYTES_MOST = 512 * 1024  # of a text in plain JSON
 JSON5_MOST = 64 * 1024  # of one that needs the slower reader, whose time is bounded so
 DEPTH_MOST = 16
 VALUES_MOST = 50_000
--- a/nickelslip/emulator/callers.py
+++ b/nickelslip/emulator/callers.py
@@ -39,6 +39,7 @@
     patience_ms: float
     replayable: bool
     marked: bool = False
+    without_call: float = 0.6  # of its credit, for an answer whose run went on without its call
 
 
 @dataclass
@@ -156,28 +157,30 @@
             if name is None:
                 return
             been.add(name)
-            word = await self._try(name, grade, told, mark, left, again > 0)
+            word, ident = await self._try(name, grade, told, mark, left, again > 0)
             if word == "done":
                 in_time = self.history.clock() - begun <= told.quoted_ms
-                self.history.add(Kind.SATISFIED, name, "", [grade, told.credit, in_time, begun])
+                self.history.add(Kind.SATISFIED, name, ident, [grade, told.credit, in_time, begun, told.without_call])
                 return
             if word not in ("later", "nowhere", "crossed") and not told.replayable:
                 return  # it may have run: not asked again anywhere
 
-    async def _try(self, name: str, grade: str, told: GradeTraffic, mark: str, left: float, again: bool) -> str:
-        """One try; `nowhere` where no connection came about, which proves that nothing ran."""
+    async def _try(self, name: str, grade: str, told: GradeTraffic, mark: str, left: float,
+                   again: bool) -> tuple[str, str]:
+        """One try: how it ended, and its id; `nowhere` where no connection came about, which proves that nothing
+        ran."""
         line = self._lines.get(name)
         if line is None or not line.usable:
             line = await Line.to(name, self._addresses[name], self)
             if line is None:
-                return "nowhere"
+                return "nowhere", ""
             self._lines[name] = line
         ident = f"{self._random.getrandbits(64):016x}"
         customer = self._random.choices(list(self.traffic.customers), list(self.traffic.customers.values()))[0]
         fields = (f"req={ident},ts={time.time() * 1000:.0f},via={self.number},owner={customer},timeout={left:.0f},"
                   f"need=20,level={self._random.random():.4f}" + (",resent=1" if again else "")
                   + (f",opkey={mark}" if mark else ""))
-        return await line.ask(ident, grade, fields, mark, left)
+        return await line.ask(ident, grade, fields, mark, left), ident
 
     def heard(self, name: str, word: str, fields: dict[str, str]) -> None:
         """What rides on an answer."""
@@ -219,7 +222,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
-        transport.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        with suppress(OSError, ValueError):  # closed already
+            transport.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._tag += 1
         self._transport.write(resp.message(b"STATUS", b"%d" % self._tag))
 
--- a/nickelslip/emulator/checkers.py
+++ b/nickelslip/emulator/checkers.py
@@ -206,11 +206,17 @@
 
 def credit(history: History, begin: float, end: float, servers: set[str] | None = None) -> tuple[float, float]:
     """Credit asked for by clients that began within this time, and credit satisfied of theirs within the quoted time;
-    the second by these servers alone, where some are named."""
+    the second by these servers alone, where some are named. A run without its call earns a part."""
     asked = sum(event.detail[1] for event in history.of(Kind.ASKED) if begin <= event.at < end)
-    served = sum(event.detail[1] for event in history.of(Kind.SATISFIED)
-                 if begin <= event.detail[3] < end and event.detail[2] and (servers is None or event.server in servers))
-    return asked, served
+    return asked, sum(worth for event, worth in earned(history)
+                      if begin <= event.detail[3] < end and (servers is None or event.server in servers))
+
+
+def earned(history: History) -> list[tuple[Event, float]]:
+    """Each answer that a client had within its quoted time, and the credit earned."""
+    left_out = {event.ident for event in history.of(Kind.LEFT_OUT)}
+    return [(event, event.detail[1] * (event.detail[4] if event.ident in left_out else 1.0))
+            for event in history.of(Kind.SATISFIED) if event.detail[2]]
 
 
 def tallied(lines: Iterable[str]) -> dict[str, int]:
--- a/nickelslip/emulator/parties.py
+++ b/nickelslip/emulator/parties.py
@@ -172,6 +172,8 @@
             run = self._runs.get(ident)
             if run is not None and run.at_call and (op == "supply" or int(str(told["seq"])) == run.at_call):
                 run.at_call = 0
+                if op == "pass":
+                    self._history.add(Kind.LEFT_OUT, self.server, ident)
                 self._work_on(run)
             elif ident not in self._known:
                 link.say(op="unknown", end=op, id=ident)
@@ -398,6 +400,7 @@
 
     def __init__(self, history: History, lapse_ms: float = 3000.0) -> None:
         self.listing, self._history = Listing(lapse_ms), history
+        self.lost, self._random = 0.0, random.Random("lost on the way to the directory")  # this part of all reports
         self._transports: list[asyncio.DatagramTransport] = []
 
     async def hear(self, address: Address) -> Address:
@@ -412,6 +415,8 @@
         parts = data.split(b" ")
         if len(parts) == 3 and parts[0] == b"PULSE" and parts[2] in (b"open", b"closed"):
             now, name = self._history.clock(), parts[1].decode()
+            if self._random.random() < self.lost:
+                return
             self._history.add(Kind.REPORT, name, "", self.listing.report(now, name), now)
 
     def came_up(self, name: str) -> None:
--- a/nickelslip/emulator/processes.py
+++ b/nickelslip/emulator/processes.py
@@ -31,9 +31,12 @@
     return ask
 
 
+ENTRY = Path(__file__).parent.parent.parent / "deploy" / "serve.py"  # as the deploy file has it
+
+
 def program(*arguments: str) -> list[str]:
-    """The command line of the program that this interpreter would run."""
-    return [sys.executable, "-B", "-m", "nickelslip.server", *arguments]
+    """The command line of the program, by this interpreter."""
+    return [sys.executable, "-B", str(ENTRY), *arguments]
 
 
 class Process:
--- a/nickelslip/emulator/relay.py
+++ b/nickelslip/emulator/relay.py
@@ -72,7 +72,8 @@
                 far, other = await asyncio.open_connection(*self.target, limit=PIECE)
             for end in (writer, other):
                 self._writers.add(end)
-                end.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                with suppress(OSError, ValueError):  # closed already
+                    end.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             async with asyncio.TaskGroup() as ways:
                 ways.create_task(self._pump(reader, other, self.lanes[self._towards]))
                 ways.create_task(self._pump(far, writer, self.lanes[self._back]))
@@ -146,8 +147,7 @@
 
 def _reset(writer: asyncio.StreamWriter) -> None:
     """End a connection with a reset, and not with a close in order."""
-    sock = writer.get_extra_info("socket")
-    if sock is not None:
-        with suppress(OSError):
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    with suppress(OSError, ValueError, AttributeError):  # one that has been closed has no socket any more
+        sock = writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     writer.transport.abort()
--- a/nickelslip/emulator/surround.py
+++ b/nickelslip/emulator/surround.py
@@ -194,6 +194,11 @@
         if self.directory is not None:
             self.directory.up(empty)
 
+    def directory_loses(self, part: float) -> None:
+        """This part of all reports is lost on the way."""
+        if self.directory is not None:
+            self.directory.lost = part
+
     def records_down(self, for_ms: float) -> None:
         if self.records is not None:
             self.records.fall(for_ms)
@@ -242,8 +247,8 @@
             self.records.close()
 
 
-COMMANDS = ("pool", "end_pool", "came_up", "set_link", "reset_links", "directory_down", "directory_up", "records_down",
-            "records_slow", "move", "ask", "restart_balancers", "figures")
+COMMANDS = ("pool", "end_pool", "came_up", "set_link", "reset_links", "directory_down", "directory_up",
+            "directory_loses", "records_down", "records_slow", "move", "ask", "restart_balancers", "figures")
 
 
 async def _host(spec: Spec, pools: list[str], shared: bool, out: Path) -> None:
--- a/nickelslip/server/balancers.py
+++ b/nickelslip/server/balancers.py
@@ -14,6 +14,7 @@
 from collections.abc import Mapping
 from itertools import islice
 from math import inf
+from typing import TYPE_CHECKING
 
 import anyio
 
@@ -22,9 +23,11 @@
 from nickelslip.configuration.config import Address
 from nickelslip.server.endings import Ended, Ending
 from nickelslip.server.streams import Stream
-from nickelslip.server.surroundings import Host
 from nickelslip.server.transactions import Answer, Asked, Gone, Transaction
 
+if TYPE_CHECKING:  # types only: a start is spared what it does not need
+    from nickelslip.server.surroundings import Host
+
 OPEN_MOST = 32  # transactions on one connection
 BODY_MOST = 2 * 1024
 KB_MOST = 2000.0
--- a/nickelslip/server/directory.py
+++ b/nickelslip/server/directory.py
@@ -1,19 +1,20 @@
 """The report to the directory.
 
-Owns the one datagram that keeps this server listed. It must never wait for the directory or depend on it: a report
-that cannot be sent is passed over, and the next one follows in its time.
+Owns the one datagram that keeps this server listed. When one is due is the start's to say. It must never wait for the
+directory or depend on it: a report that cannot be sent is passed over, and the next one follows in its time.
 """
 
 from __future__ import annotations
 
 import socket
+from math import inf
+from typing import TYPE_CHECKING
 
 import anyio
 
-from nickelslip.server.surroundings import Reported
+if TYPE_CHECKING:  # types only: a start is spared what it does not need
+    from nickelslip.server.surroundings import Reported
 
-REPORT_S = 0.25  # a twelfth of the time after which a silent server is taken off the list: reports get lost, and at
-# one a second a quarter of them lost took a healthy server off the list every few seconds
 
 
 class Directory:
@@ -25,15 +26,26 @@
         self._again = anyio.Event()
 
     def move(self) -> None:
-        """The address, or the health, has changed: report at once."""
+        """What is due may have changed. A new address alone brings no report out of turn: a new configuration comes to
+        all servers in the same moment."""
+        self._again.set()
+
+    def tell(self) -> None:
+        """The health has changed: report at once."""
+        self._around.coming_up.told(self._around.clock())
         self._again.set()
 
     async def run(self) -> None:
-        """Report from the start to the end."""
+        """Report from the moment when the worker pool is there to the end."""
         while True:
             self._again = anyio.Event()
-            self._report()
-            with anyio.move_on_after(REPORT_S):
+            now, coming_up = self._around.clock(), self._around.coming_up
+            if coming_up.report_at <= now:
+                self._report()
+                coming_up.reported(now)
+                self._around.look()
+            wait = coming_up.report_at - self._around.clock()
+            with anyio.move_on_after(None if wait == inf else max(0.0, wait) / 1000):
                 await self._again.wait()
 
     def _report(self) -> None:
--- a/nickelslip/server/node.py
+++ b/nickelslip/server/node.py
@@ -10,6 +10,7 @@
 
 import signal
 import time
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from enum import Enum
 from math import inf
@@ -20,7 +21,8 @@
 from anyio.abc import TaskGroup
 
 from nickelslip.admission.control import Control
-from nickelslip.admission.interface import Change, Gauges, Outcome, Remembrance, Result, State
+from nickelslip.admission.interface import Change, Gauges, Outcome, Remembrance, Result, Settings, State
+from nickelslip.coming_up.start import Start, Step
 from nickelslip.configuration.config import Config, moved
 from nickelslip.configuration.generations import RESULTS_PART, Generation
 from nickelslip.configuration.meter import Meter
@@ -33,9 +35,16 @@
 from nickelslip.settings import Malformed
 
 BUFFERS_PART = 1 / 4  # of this process's memory, for buffers
+FIRST_CALLS = 1.0  # a part that is not told is found by rising from there
 GAUGES_LEAD_MS = 5.0  # what asking for them takes at most, but for standstills
 
 
+def part_of_calls(settings: Settings) -> float:
+    """This server's part of the calls: one at least, so that a part which is not told is no bound; 0 where it makes
+    none."""
+    return max(settings.call_share, FIRST_CALLS) if any(each.calls for each in settings.grades) else 0.0
+
+
 class Phase(Enum):
     """The life of the server."""
 
@@ -70,6 +79,11 @@
         self.meter: Meter | None = None  # there, what becomes of transactions is counted
         self._origin = time.time() * 1000 - time.monotonic() * 1000
         self.phase = Phase.WAITING
+        settings = config.settings
+        self.coming_up = Start(config.name, config.seed, self.clock(), part_of_calls(settings), settings.cold,
+                               settings.cold_ms)
+        self._bounds = inf, 1.0  # that the module was told last
+        self._step, self._steps = Step.STARTED, Counter[Step]()
         self.said: float | None = None
         self.healthy = True
         self.idle_ms: float | None = None
@@ -139,6 +153,7 @@
         """Put a generation in force, whole, between two events: what was read keeps its own, what is read from here
         on gets this one, and the module is told in one call, whose orders are carried out before this returns."""
         self.generation = generation
+        self.coming_up.take_part(part_of_calls(generation.settings))
         if self._control is not None:
             self._decide(Control.change, generation.settings)
         self._move_links()
@@ -167,7 +182,7 @@
         self.log.error("failed", error=repr(error), exc_info=error)
         self._enter(Phase.FAILED)
         self.healthy, self._control = False, None
-        self.directory.move()
+        self.directory.tell()
         for one in list(self.transactions.values()):
             self._forfeit(one)
 
@@ -188,7 +203,25 @@
             self.fail(error)
             return
         self._enter(Phase.SERVING)
+        self.coming_up.linked(now, max(0.0, ago_ms))
+        self.directory.move()
         self._decide(Control.start)
+        self.look()
+
+    def look(self) -> None:
+        """Tell the module what follows from the start's step, where that has changed; a step makes a line."""
+        now = self.clock()
+        self.coming_up.look(now)
+        step = self.coming_up.step
+        if step is not self._step:
+            self._step = step
+            self._steps[step] += 1
+            if not (count := self._steps[step]) & (count - 1):
+                self.log.info("coming up", step=step.name, means=step.value, so_far=count)
+        bounds, rest_ms = (self.coming_up.calls_most, self.coming_up.weight_most), self.coming_up.rest_ms(now)
+        if (bounds != self._bounds or rest_ms > 0) and self._control is not None and not self._deciding:
+            self._bounds = bounds
+            self._decide(Control.bound, bounds[0], rest_ms, bounds[1])
 
     def leave(self) -> None:
         """Told to leave: the notice counts once."""
@@ -198,7 +231,7 @@
             self._decide(Control.drain, self._kill)
         elif self.phase is Phase.WAITING:
             self.healthy = False
-            self.directory.move()
+            self.directory.tell()
             self._enter(Phase.LEAVING)
 
     async def _leave_when_due(self) -> None:
@@ -286,7 +319,12 @@
     def call_returned(self, one: Transaction, outcome: Outcome, took_ms: float) -> None:
         if self.meter is not None:
             self.meter.call(self.clock(), outcome is not Outcome.OK)
+        if outcome in (Outcome.OK, Outcome.FULL, Outcome.TIMEOUT):
+            self.coming_up.call_answered(self.clock(), took_ms if outcome is Outcome.OK else inf)
+        elif outcome is not Outcome.MOOT:
+            self.coming_up.call_failed(self.clock(), outcome is Outcome.UNREACHED and self.records.refused)
         self._decide(Control.call_returned, one.number, outcome, took_ms)
+        self.look()
 
     def caller_gone(self, one: Transaction) -> None:
         self._decide(Control.caller_gone, one.number)
@@ -318,7 +356,7 @@
         if result.health is not None and result.health.good is not self.healthy:
             self.healthy = result.health.good
             self.log.info("health", good=self.healthy)
-            self.directory.move()
+            self.directory.tell()
         if result.idle_ms is not None:
             self.idle_ms = result.idle_ms
         for entry in result.table:
@@ -339,6 +377,8 @@
     def _change_of(self, change: Change) -> None:
         one = self.transactions.get(change.id)
         if one is not None:
+            if change.state is State.CALLING:
+                self.coming_up.call_out(self.clock())
             one.carry_out(self, change)
             self._tell_change()
 
--- a/nickelslip/server/records.py
+++ b/nickelslip/server/records.py
@@ -9,14 +9,17 @@
 from __future__ import annotations
 
 from enum import Enum
+from typing import TYPE_CHECKING
 
 from nickelslip.admission.interface import Outcome
 from nickelslip.configuration.config import Address
 from nickelslip.server.endings import CALL_ENDS, Ended, Ending
 from nickelslip.server.streams import SIZE, Stream, connect
-from nickelslip.server.surroundings import Surroundings
 from nickelslip.server.transactions import Returned, Transaction
 
+if TYPE_CHECKING:  # types only: a start is spared what it does not need
+    from nickelslip.server.surroundings import Surroundings
+
 REUSE_MS = 100.0  # a connection unused for longer may have been closed or forgotten by the service
 IDLE_MOST = 16  # unused connections kept
 HALF_MS = 500.0  # how long half a reply may stand still
@@ -202,6 +205,11 @@
         if carrier in self._idle:
             self._idle.remove(carrier)
 
+    @property
+    def refused(self) -> bool:
+        """Whether the latest connection that was tried did not come about."""
+        return self._refused
+
     def reached(self, fault: str | None) -> None:
         """Whether a connection came about: a change of that makes a line."""
         if (fault is not None) is not self._refused:
--- a/nickelslip/server/surroundings.py
+++ b/nickelslip/server/surroundings.py
@@ -11,6 +11,7 @@
 
 from anyio.abc import TaskGroup
 
+from nickelslip.coming_up.start import Start
 from nickelslip.configuration.generations import Generation
 from nickelslip.server.streams import Buffers
 from nickelslip.server.transactions import Transaction
@@ -30,14 +31,18 @@
 
 
 class Reported(Surroundings, Protocol):
-    """For the report to the directory."""
+    """For the report to the directory: it says when one is due, and hears that one went out."""
 
     healthy: bool
+    coming_up: Start
 
+    def look(self) -> None: ...
 
-class Host(Reported, Protocol):
+
+class Host(Surroundings, Protocol):
     """For a front: where a transaction that was read goes, and what is said outward meanwhile."""
 
+    healthy: bool
     said: float | None
 
     def take(self, one: Transaction) -> bool: ...
--- a/nickelslip/server/workers.py
+++ b/nickelslip/server/workers.py
@@ -9,22 +9,27 @@
 
 from __future__ import annotations
 
+import random
 from base64 import b64decode, b64encode
 from collections import deque
 from enum import Enum
-from typing import Any, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 import anyio
 import orjson
 
 from nickelslip.admission.interface import Gauges, Outcome, Repeat, State, Stopping
+from nickelslip.coming_up.spread import Pauses
 from nickelslip.configuration.config import Address
 from nickelslip.server.endings import NOT_CARRIED_OUT, RUN_ENDS, Ended, Ending
 from nickelslip.server.streams import SIZE, Stream, connect
-from nickelslip.server.surroundings import Employer
 from nickelslip.server.transactions import FINAL, Blocked, Finished, Transaction
 
-PAUSE_MS, PAUSE_MOST_MS = 20.0, 500.0  # between tries to connect, doubled up to the second
+if TYPE_CHECKING:  # types only: a start is spared what it does not need
+    from nickelslip.server.surroundings import Employer
+
+PAUSE_MS, PAUSE_MOST_MS = 20.0, 500.0  # between tries to connect, at least and at most
+TRIES_MOST, TRIES_SPAN_MS = 24, 5000.0  # and no more tries than that in such a time
 MOVE_MS = 100.0  # how long a link that is being replaced may take to prove what got there
 UNHEARD_MOST = 20  # questions, ten a second, on which a link that brings nothing is given up
 GHOST_STOPS = 3  # stops without a word, each behind the answer to a question, that prove that there is no run
@@ -141,7 +146,8 @@
 
     async def run(self) -> None:
         """Keep the link, and take it up again when it is lost."""
-        pause = PAUSE_MS
+        chance = random.Random(f"link {self._around.generation.config.name} {self._around.generation.config.seed}")
+        pauses = Pauses(chance, PAUSE_MS, PAUSE_MOST_MS, TRIES_MOST, TRIES_SPAN_MS)
         while True:
             with anyio.CancelScope() as self._attempt:
                 try:
@@ -149,8 +155,7 @@
                         self._address = self._around.generation.config.pool
                         self._next = await self._connect(self._address)
                 except Ended:
-                    await anyio.sleep(pause / 1000)
-                    pause = min(2 * pause, PAUSE_MOST_MS)
+                    await anyio.sleep(pauses.after_failure(self._around.clock()) / 1000)
             if self._next is None:
                 continue
             if self._address != self._around.generation.config.pool:
@@ -158,7 +163,8 @@
                 self._next.end_with(Ending.MOVED)
                 self._next = None
                 continue
-            self._stream, self._next, pause = self._next, None, PAUSE_MS
+            pauses.after_success()
+            self._stream, self._next = self._next, None
             try:
                 self._enter(Link.BINDING)
                 self._unheard = 0
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -8,7 +8,8 @@
 import pytest
 from click.testing import CliRunner
 
-from nickelslip.server.cli import Lines, main
+from nickelslip.server.cli import main
+from nickelslip.server.program import Lines
 from nickelslip.configuration.config import config_of
 from nickelslip.settings import Malformed
 from tests.helpers import TOLD
