A start's rounds are judged by their mean against the usual one; no bound on the weight

The logs show one cold server in RISING to the end: its first round of two calls set a best that chance alone met, so that all later rounds were slow and one call was out (Start._count). Change: a round has four answers at least and is judged by its mean; what is usual is learned from rounds and forgotten slowly; a failure of under a second does not begin the start anew.

--- a/nickelslip/admission/control.py
+++ b/nickelslip/admission/control.py
@@ -164,7 +164,7 @@
         self._call_time = Mean(min(grade.quoted_ms for grade in settings.grades) * CALL_GUESS, span)
         self._call_best, self._call_rest, self._call_limit, self._call_share = inf, now, 1.0, 1.0
         self._call_spared = now  # until then calls that can be left out are
-        self._call_most, self._weight_most = inf, 1.0  # bounds from outside, while the server comes up
+        self._call_most = inf  # a bound from outside, while the server comes up or what lies below fails
         self._items: dict[int, Item] = {}
         self._in: dict[State, dict[int, Item]] = {state: {} for state in State}
         self._entries: dict[int, float] = {}  # remembered transactions, and when each is forgotten
@@ -286,10 +286,9 @@
                     self._move(now, item, State.OMITTED if item.grading.omittable else State.FORFEITED)
         return self._decide(now)
 
-    def bound(self, now: float, calls: float, rest_ms: float, weight: float) -> Result:
-        """While this server comes up, or what lies below fails: as many calls may be out, none goes out
-        for so long, and so much weight is said at most."""
-        self._call_most, self._weight_most = calls, weight
+    def bound_calls(self, now: float, most: float, rest_ms: float) -> Result:
+        """While this server comes up, or what lies below fails: so many may be out, and none goes for so long."""
+        self._call_most = most
         self._call_rest = max(self._call_rest, now + rest_ms)
         return self._decide(now)
 
@@ -580,7 +579,7 @@
 
     def _speak(self, now: float) -> None:
         """Outward words that changed: the weight in the callers' meaning, and the next wake."""
-        weight = 0.0 if now >= self._drain_at + self._grace else min(self._weight, self._weight_most)
+        weight = 0.0 if now >= self._drain_at + self._grace else self._weight
         if weight != self._said and self._said_as is not Said.NOTHING:
             self._result.said = {Said.CHANCE: weight, Said.SLOTS: weight * self._slots_each,
                                  Said.RANK: 1 - weight}[self._said_as]
--- a/nickelslip/coming_up/start.py
+++ b/nickelslip/coming_up/start.py
@@ -1,7 +1,7 @@
 """The start of one server, from the first line of its process until it is warm.
 
 Owns one state machine and what follows from its state: how soon a report is due, how many calls may be out to what lies
-below and how long to wait before the next, what weight may be said at most. It sees only what reaches this server. It
+below and how long to wait before the next. It sees only what reaches this server. It
 must never do I/O, read a clock, or decide about a transaction: bounds are told to the module, which keeps deciding.
 
 Hundreds of servers that run this at the same time share nothing but the services below. Each asks for little first and
@@ -22,13 +22,15 @@
 TOLD_AGAIN_MS = (60.0, 180.0)  # after a change of health it is told again, in case a report was lost
 FIRST_CALLS = 1.0  # that may be out at once in the beginning
 STEP = 1.5  # by which that grows when a round of them was answered in time
-SLOW = 2.0  # an answer that took so many times the quickest mean yet shows that what lies below is crowded
-ROUND_LEAST = 2  # answers at least to a round
-WEIGHT_FIRST = 0.5  # what is said at most before the first answer from below
+SLOW = 2.0  # a round whose mean is so many times the usual one shows that what lies below is crowded
+ROUND_LEAST = 4  # answers at least to a round
+LEARNS = 0.3  # of a quick round's mean goes into the usual one
 REST_LEAST_MS, REST_MOST_MS = 20.0, 1000.0  # between attempts at records that refuse or fail
 REST_BUDGET, REST_SPAN_MS = 12, 5000.0  # and no more attempts than that in such a time
-FAILS = 3  # calls in a row that failed without a refusal, after which what is below counts as failing
-FORGETS = 1.05  # by which the quickest mean grows with a slow round: what is below may have become slower for good
+FAILS = 3  # calls in a row that brought no answer, after which what is below counts as failing
+SHORT_MS = 1000.0  # after a failure that was over sooner a start goes on where it was: nobody below has to warm again
+FORGETS = 1.05  # by which that grows with a round at most: a crowd that comes slowly must not become usual at once, yet
+# what is below may have become slower for good
 
 
 class Step(Enum):
@@ -57,9 +59,10 @@
         self._part = max(FIRST_CALLS, part_calls)
         self._calls, self._rest_until = (FIRST_CALLS if self._cold else self._part), now
         self._pressed = now  # when what is below was last seen slow or failing
-        self._best = inf  # the quickest mean of a round yet
-        self._mean, self._answers, self._slow = 0.0, 0, 0  # of the round: of its quick ones, all, slow ones
+        self._usual = inf  # a round's mean, as it is usually
+        self._mean, self._answers, self._lost = 0.0, 0, 0  # of the round: its answers' mean, all, those without a time
         self._fails = 0  # calls in a row that brought no answer
+        self._failed_from = Step.STARTED, FIRST_CALLS, now  # where falling back began
         self._again: list[float] = []  # when a change is told again
         self._due = inf
         self.steps: list[tuple[float, Step]] = [(now, Step.STARTED)]  # for the log and for tests; as long as a start
@@ -114,40 +117,47 @@
         self._pauses.after_success()
         self._fails = 0
         if self.step is Step.FALLING_BACK:
-            self._calls, self._rest_until = FIRST_CALLS, now
-            self._enter(now, Step.ASKING_LITTLE)
-            self._answers = self._slow = 0
+            step, calls, since = self._failed_from
+            short = now - since < SHORT_MS and step is not Step.LINKED
+            self._calls, self._rest_until = calls if short else FIRST_CALLS, now
+            self._enter(now, step if short else Step.ASKING_LITTLE)
+            self._answers = self._lost = 0
         if self.step in (Step.ASKING_LITTLE, Step.RISING):
             self._count(now, took_ms)
 
-    def call_failed(self, now: float, refused: bool) -> None:
+    def call_failed(self, now: float) -> None:
         """A call brought no answer: it never got there, or it was lost on its way."""
         if self.step is Step.STARTED:
             return
         self._pressed = now
         self._fails += 1
-        if not refused and self._fails < FAILS:
+        if self._fails < FAILS:
             return
-        self._calls, self._answers, self._slow = FIRST_CALLS, 0, 0
+        if self.step is not Step.FALLING_BACK:
+            self._failed_from = self.step, self._calls, now
+        self._calls, self._answers, self._lost = FIRST_CALLS, 0, 0
         self._rest_until = max(self._rest_until, now + self._pauses.after_failure(now))
         self._enter(now, Step.FALLING_BACK)
 
     def _count(self, now: float, took_ms: float) -> None:
-        """Judge a round once as many were answered as may be out: with all of them quick, more may be."""
+        """Judge a round by its mean, once as many were answered as may be out: while that is usual, more may be. Single
+        answers differ by chance far more than a crowd makes them differ."""
         self._answers += 1
-        if took_ms == inf or took_ms > SLOW * self._best:
-            self._slow += 1
+        if took_ms == inf:
+            self._lost += 1
         else:
-            self._mean += (took_ms - self._mean) / (self._answers - self._slow)
+            self._mean += (took_ms - self._mean) / (self._answers - self._lost)
         if self._answers < max(ROUND_LEAST, self._calls):
             return
-        if 2 * self._slow > self._answers:
+        if 2 * self._lost > self._answers or self._mean > SLOW * self._usual:
             self._calls = max(FIRST_CALLS, self._calls / STEP)
-            self._best, self._pressed = self._best * FORGETS, now
+            self._usual, self._pressed = self._usual * FORGETS, now
         else:
-            self._best = min(self._best, self._mean)
+            first = self._usual == inf
+            self._usual = self._mean if first else min(
+                self._usual * FORGETS, self._usual + LEARNS * (self._mean - self._usual))
             self._calls = min(self._part, self._calls * STEP)
-        self._answers, self._slow, self._mean = 0, 0, 0.0
+        self._answers, self._lost, self._mean = 0, 0, 0.0
         self._enter(now, Step.WARM if self._calls >= self._part else Step.RISING)
 
     # What follows
@@ -171,10 +181,3 @@
     def rest_ms(self, now: float) -> float:
         """How long no call is to go out."""
         return max(0.0, self._rest_until - now)
-
-    @property
-    def weight_most(self) -> float:
-        """The weight that may be said at most."""
-        if self.step is Step.WARM:
-            return 1.0
-        return max(WEIGHT_FIRST, min(1.0, self._calls / self._part)) if self.step is Step.RISING else WEIGHT_FIRST
--- a/nickelslip/server/node.py
+++ b/nickelslip/server/node.py
@@ -82,7 +82,7 @@
         settings = config.settings
         self.coming_up = Start(config.name, config.seed, self.clock(), part_of_calls(settings), settings.cold,
                                settings.cold_ms)
-        self._bounds = inf, 1.0  # that the module was told last
+        self._calls_most = inf  # that the module was told last
         self._step, self._steps = Step.STARTED, Counter[Step]()
         self.said: float | None = None
         self.healthy = True
@@ -218,10 +218,10 @@
             self._steps[step] += 1
             if not (count := self._steps[step]) & (count - 1):
                 self.log.info("coming up", step=step.name, means=step.value, so_far=count)
-        bounds, rest_ms = (self.coming_up.calls_most, self.coming_up.weight_most), self.coming_up.rest_ms(now)
-        if (bounds != self._bounds or rest_ms > 0) and self._control is not None and not self._deciding:
-            self._bounds = bounds
-            self._decide(Control.bound, bounds[0], rest_ms, bounds[1])
+        most, rest_ms = self.coming_up.calls_most, self.coming_up.rest_ms(now)
+        if (most != self._calls_most or rest_ms > 0) and self._control is not None and not self._deciding:
+            self._calls_most = most
+            self._decide(Control.bound_calls, most, rest_ms)
 
     def leave(self) -> None:
         """Told to leave: the notice counts once."""
@@ -322,7 +322,7 @@
         if outcome in (Outcome.OK, Outcome.FULL, Outcome.TIMEOUT):
             self.coming_up.call_answered(self.clock(), took_ms if outcome is Outcome.OK else inf)
         elif outcome is not Outcome.MOOT:
-            self.coming_up.call_failed(self.clock(), outcome is Outcome.UNREACHED and self.records.refused)
+            self.coming_up.call_failed(self.clock())
         self._decide(Control.call_returned, one.number, outcome, took_ms)
         self.look()
 
--- a/nickelslip/server/records.py
+++ b/nickelslip/server/records.py
@@ -205,11 +205,6 @@
         if carrier in self._idle:
             self._idle.remove(carrier)
 
-    @property
-    def refused(self) -> bool:
-        """Whether the latest connection that was tried did not come about."""
-        return self._refused
-
     def reached(self, fault: str | None) -> None:
         """Whether a connection came about: a change of that makes a line."""
         if (fault is not None) is not self._refused:
