--- a/nickelslip/admission/interface.py
+++ b/nickelslip/admission/interface.py
@@ -90,8 +90,7 @@
     reserve: int = 0  # running slots that other grades leave free for it
 
 
-@dataclass(frozen=True)
-class Customer:
+class Customer(NamedTuple):
     """Who sends, and how much a second of it, over all servers, counts in full."""
 
     name: str
@@ -132,7 +131,7 @@
     running_most: float = inf  # transactions on the cores at once that the operators allow
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Arrival:
     """A transaction as it was read."""
 
@@ -149,8 +148,7 @@
     marked: bool = False  # it carries a mark by which a like one is known
 
 
-@dataclass(frozen=True)
-class Gauges:
+class Gauges(NamedTuple):
     """What a server measures of itself, where it does."""
 
     busy: float | None = None  # share of the cores
@@ -182,7 +180,7 @@
     stored: bool
 
 
-@dataclass
+@dataclass(eq=False)
 class Result:
     """What one call decided. The outward words go out first, then the table, then the changes in order."""
 
--- a/nickelslip/configuration/faults.py
+++ b/nickelslip/configuration/faults.py
@@ -6,8 +6,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import Enum
+from typing import NamedTuple
 
 from nickelslip.settings import Malformed
 
@@ -23,8 +23,7 @@
     WARNING = "warning"
 
 
-@dataclass(frozen=True)
-class Fault:
+class Fault(NamedTuple):
     """One thing that is wrong. Line and column count from 1; 0: not known."""
 
     path: Path
--- a/nickelslip/configuration/layers.py
+++ b/nickelslip/configuration/layers.py
@@ -9,7 +9,7 @@
 
 import json
 from collections.abc import Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from typing import Any
 
 from nickelslip.configuration.config import Config, told_by
@@ -123,7 +123,7 @@
     whole, found = checked(part)
     found = [_placed(fault, origins) for fault in found]
     if platform and len(texts) == 1:  # the platform's file alone is taken as it always was
-        found = [replace(fault, gravity=Gravity.WARNING) for fault in found]
+        found = [fault._replace(gravity=Gravity.WARNING) for fault in found]
     faults += found
     if grave(faults):
         raise Faulty(faults)
@@ -136,8 +136,8 @@
     source, _, place = origins.get(fault.path, "").partition(":")
     line, _, column = place.partition(":")
     if not line.isdigit() or not column.isdigit():
-        return replace(fault, source=origins.get(fault.path, fault.source))
-    return replace(fault, source=source, line=int(line), column=int(column))
+        return fault._replace(source=origins.get(fault.path, fault.source))
+    return fault._replace(source=source, line=int(line), column=int(column))
 
 
 def _there(whole: Document, path: Path) -> bool:
--- a/nickelslip/server/transactions.py
+++ b/nickelslip/server/transactions.py
@@ -23,7 +23,7 @@
 MAIL_MOST = 64  # what the worker pool and the records may have to say of one transaction at once
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Asked:
     """A transaction as a front read it, every field checked."""
 
