The widest line of the module is within 110 characters again

Need: a docstring of Control.bound_calls had 114. Change: it says less; constants of a start stand in their order; no code is changed.

--- a/nickelslip/admission/control.py
+++ b/nickelslip/admission/control.py
@@ -287,7 +287,7 @@
         return self._decide(now)
 
     def bound_calls(self, now: float, most: float, rest_ms: float) -> Result:
-        """While this server comes up, or what lies below fails: so many may be out, and none goes for so long."""
+        """While this server comes up, or what lies below fails: so many at most, and none for so long."""
         self._call_most = most
         self._call_rest = max(self._call_rest, now + rest_ms)
         return self._decide(now)
--- a/nickelslip/coming_up/start.py
+++ b/nickelslip/coming_up/start.py
@@ -1,8 +1,8 @@
 """The start of one server, from the first line of its process until it is warm.
 
 Owns one state machine and what follows from its state: how soon a report is due, how many calls may be out to what lies
-below and how long to wait before the next. It sees only what reaches this server. It
-must never do I/O, read a clock, or decide about a transaction: bounds are told to the module, which keeps deciding.
+below and how long to wait before the next. It sees only what reaches this server. It must never do I/O, read a clock
+or decide about a transaction: bounds are told to the module, which keeps deciding.
 
 Hundreds of servers that run this at the same time share nothing but the services below. Each asks for little first and
 for more only as answers earn it, so that together they rise no faster than what is below answers.
@@ -25,12 +25,12 @@
 SLOW = 2.0  # a round whose mean is so many times the usual one shows that what lies below is crowded
 ROUND_LEAST = 4  # answers at least to a round
 LEARNS = 0.3  # of a quick round's mean goes into the usual one
+FORGETS = 1.05  # by which that grows with a round at most: a crowd that comes slowly must not become usual at once, yet
+# what is below may have become slower for good
 REST_LEAST_MS, REST_MOST_MS = 20.0, 1000.0  # between attempts at records that refuse or fail
 REST_BUDGET, REST_SPAN_MS = 12, 5000.0  # and no more attempts than that in such a time
 FAILS = 3  # calls in a row that brought no answer, after which what is below counts as failing
 SHORT_MS = 1000.0  # after a failure that was over sooner a start goes on where it was: nobody below has to warm again
-FORGETS = 1.05  # by which that grows with a round at most: a crowd that comes slowly must not become usual at once, yet
-# what is below may have become slower for good
 
 
 class Step(Enum):
@@ -45,8 +45,6 @@
     FALLING_BACK = "what lies below refuses or fails: one attempt at a time, with pauses"
 
 
-
-
 class Start:
     """One start. Times are milliseconds on a clock that only goes forward; `part_calls` is this server's part of what
     the records survive, as a mean number of calls that are out, or 0 where it makes none. A machine that is not cold
