--- a/nickelslip/admission/control.py
+++ b/nickelslip/admission/control.py
@@ -234,7 +234,7 @@
         elif grading.referenced and not self._remember(item, now, max(grading.window, item.due - now)):
             self._turn_away(item, now)  # unremembered it must not run
         else:
-            if self._fresh > 0 and arrival.marked and grading.replayable:
+            if self._fresh > 0 and arrival.keyed and grading.replayable:
                 self._remember(item, now, item.due - now + self._fresh)
             waits = len(self._in[State.HELD]) > 1 or self._on_cores() >= self._limit
             if waits and item.inside < 1:  # the whole fleet counts its share: it would help nowhere
--- a/nickelslip/admission/interface.py
+++ b/nickelslip/admission/interface.py
@@ -145,7 +145,7 @@
     caller: int | None = None
     unread_ms: float = 0.0
     forerunner: int | None = None  # the remembered transaction of which this is a repeat
-    marked: bool = False  # it carries a mark by which a like one is known
+    keyed: bool = False  # it carries a key by which a like one is known
 
 
 class Gauges(NamedTuple):
--- a/nickelslip/bench/codec.py
+++ b/nickelslip/bench/codec.py
@@ -38,7 +38,7 @@
 
 def arrival_from(parts: list[str]) -> Arrival:
     """The values of an ASK line behind its instance; absent trailing ones may be left out."""
-    ident, grade, customer, mark, due, hint, kb, _rank, again, _update, caller, unread, earlier = (
+    ident, grade, customer, key, due, hint, kb, _rank, again, _update, caller, unread, earlier = (
         _optional(part) for part in (parts + ["-"] * 13)[:13]
     )
     if ident is None or grade is None:
@@ -46,7 +46,7 @@
     return Arrival(
         id=int(ident), grade=grade, customer=customer, kb=_number(kb or "0"), due_ms=_number(due or "0") or None,
         cost_hint_ms=_number(hint or "0") or None, again=again == "1", caller=None if caller is None else int(caller),
-        unread_ms=_number(unread or "0"), forerunner=int(earlier or "0") or None, marked=mark is not None,
+        unread_ms=_number(unread or "0"), forerunner=int(earlier or "0") or None, keyed=key is not None,
     )
 
 
--- a/nickelslip/coming_up/spread.py
+++ b/nickelslip/coming_up/spread.py
@@ -1,4 +1,4 @@
-"""Spread in time without knowing the others: phases of what is done again and again, and pauses between attempts.
+"""Spread in time without knowing the others: phases of what is done again and again, and backoff between attempts.
 
 Owns both, as arithmetic and seeded chance. Nothing here reads a clock, does I/O or knows what is done at the times that
 it names.
@@ -32,8 +32,8 @@
     return ((periods // 1) + 1 + part) * period_ms
 
 
-class Pauses:
-    """Pauses between attempts at something that does not answer: decorrelated, and within a budget. In each span of
+class Backoff:
+    """Backoff between attempts at something that does not answer: decorrelated, and within a budget. In each span of
     time no more attempts are made than the budget has, however often success and failure take turns."""
 
     def __init__(self, chance: random.Random, least_ms: float, most_ms: float, budget: int, span_ms: float) -> None:
--- a/nickelslip/coming_up/start.py
+++ b/nickelslip/coming_up/start.py
@@ -14,7 +14,7 @@
 from enum import Enum
 from math import inf
 
-from nickelslip.coming_up.spread import Pauses, next_in_phase, phase
+from nickelslip.coming_up.spread import Backoff, next_in_phase, phase
 
 LAPSE_MS = 3000.0  # after its last report a server is taken off the list, by the directory's page
 REPORTS = 6  # to that time
@@ -42,7 +42,7 @@
     ASKING_LITTLE = "the first calls are out, as few as can be"
     RISING = "answers come in time, and more calls may be out by steps"
     WARM = "as many calls may be out as this server's part is; the module alone bounds them"
-    FALLING_BACK = "what lies below refuses or fails: one attempt at a time, with pauses"
+    FALLING_BACK = "what lies below refuses or fails: one attempt at a time, with backoff"
 
 
 class Start:
@@ -52,7 +52,7 @@
 
     def __init__(self, name: str, seed: int, now: float, part_calls: float, cold: bool, cold_ms: float = 0.0) -> None:
         self._phase, self._random = phase(name, seed), random.Random(f"start {name} {seed}")
-        self._pauses = Pauses(self._random, REST_LEAST_MS, REST_MOST_MS, REST_BUDGET, REST_SPAN_MS)
+        self._backoff = Backoff(self._random, REST_LEAST_MS, REST_MOST_MS, REST_BUDGET, REST_SPAN_MS)
         self.step, self.since, self._cold, self._cold_ms = Step.STARTED, now, cold and part_calls > 0, cold_ms
         self._part = max(FIRST_CALLS, part_calls)
         self._calls, self._rest_until = (FIRST_CALLS if self._cold else self._part), now
@@ -112,7 +112,7 @@
 
     def call_answered(self, now: float, took_ms: float) -> None:
         """A call was answered, after so long; inf for one that was turned away or given up: slow in any case."""
-        self._pauses.after_success()
+        self._backoff.after_success()
         self._fails = 0
         if self.step is Step.FALLING_BACK:
             step, calls, since = self._failed_from
@@ -134,7 +134,7 @@
         if self.step is not Step.FALLING_BACK:
             self._failed_from = self.step, self._calls, now
         self._calls, self._answers, self._lost = FIRST_CALLS, 0, 0
-        self._rest_until = max(self._rest_until, now + self._pauses.after_failure(now))
+        self._rest_until = max(self._rest_until, now + self._backoff.after_failure(now))
         self._enter(now, Step.FALLING_BACK)
 
     def _count(self, now: float, took_ms: float) -> None:
--- a/nickelslip/server/balancers.py
+++ b/nickelslip/server/balancers.py
@@ -121,7 +121,7 @@
     return Asked(
         ident=ident, grade=grade, body=body, reached=reached, kb=kb, customer=customer,
         wait_ms=figure(fields, "timeout", 0.0, SPAN_MOST_MS), cost_hint_ms=figure(fields, "ms", 0.0, SPAN_MOST_MS),
-        again=fields.get("resent") == "1", caller=int(via), mark=fields.get("opkey" if referenced else "subject"))
+        again=fields.get("resent") == "1", caller=int(via), key=fields.get("opkey" if referenced else "subject"))
 
 
 class Connection:
@@ -239,8 +239,8 @@
         self._open.pop(tag, None)
         fields = [self._said(answer.said)] if answer.said is not None else []
         if answer.state is State.DISMISSED:
-            if answer.stay_away_ms > 0:
-                fields.append(b"holdoff=%.3f" % answer.stay_away_ms)
+            if answer.retry_after_ms > 0:
+                fields.append(b"holdoff=%.3f" % answer.retry_after_ms)
             if answer.last:
                 fields.append(b"nomore=1")
         self._send(tag, WORDS[answer.state], b",".join(fields), answer.body)
@@ -270,7 +270,7 @@
         with anyio.move_on_after(self._host.generation.stall_ms / 1000):
             while not self.stream.all_sent and not self.stream.ending:
                 await anyio.sleep(ACCEPT_PAUSE_S)
-        await self.stream.see_off()
+        await self.stream.linger()
 
     def close(self) -> None:
         """No new transaction is to come here; the balancer closes when all is answered."""
--- a/nickelslip/server/streams.py
+++ b/nickelslip/server/streams.py
@@ -21,7 +21,7 @@
 SIZE = 16 * 1024
 CONNECT_S = 1.0
 KEPT_PART = 4  # of the buffers, one in so many is kept for this server's own peers
-SEE_OFF_S, SEE_OFF_PAUSE_S = 0.5, 0.005
+LINGER_S, LINGER_PAUSE_S = 0.5, 0.005
 PASSED_OVER = bytearray(4 * SIZE)  # where what nobody reads is put
 
 
@@ -117,11 +117,11 @@
             self._room = anyio.Event()
             await self._room.wait()
 
-    async def see_off(self) -> None:
+    async def linger(self) -> None:
         """Say that nothing more is sent, and pass over what still comes until the other side closes, for a moment:
         closed with something unread, the connection would take answers along that are on their way. Whoever sends
         without end is read no faster than a little at a time, and not for long."""
-        with anyio.move_on_after(SEE_OFF_S):
+        with anyio.move_on_after(LINGER_S):
             try:
                 self._sock.shutdown(socket.SHUT_WR)
                 while True:
@@ -129,7 +129,7 @@
                     await self._until(anyio.wait_readable)
                     if not self._sock.recv_into(PASSED_OVER):
                         return
-                    await anyio.sleep(SEE_OFF_PAUSE_S)
+                    await anyio.sleep(LINGER_PAUSE_S)
             except (Ended, OSError):
                 return
 
--- a/nickelslip/server/table.py
+++ b/nickelslip/server/table.py
@@ -1,6 +1,6 @@
 """The table of remembered transactions.
 
-Owns the marks, the transactions remembered by them and the results kept for repeats. It must never decide what is
+Owns the keys, the transactions remembered by them and the results kept for repeats. It must never decide what is
 remembered, or for how long: that is the module's. Results are bounded by this process's memory.
 """
 
@@ -25,7 +25,7 @@
 
 
 class Table:
-    """Marks and the transactions remembered by them, as the module says; results are bounded by this process's
+    """Keys and the transactions remembered by them, as the module says; results are bounded by this process's
     memory, and a repeat whose result was let go is answered with a failure, never run."""
 
     def __init__(self, clock: Callable[[], float], result_bytes: float) -> None:
@@ -34,42 +34,42 @@
         self._kept: OrderedDict[tuple[str, str], int] = OrderedDict()
         self._bytes, self._bytes_most = 0, result_bytes
 
-    def _mark(self, one: Transaction) -> tuple[str, str] | None:
-        return None if one.asked.mark is None else (one.asked.grade, one.asked.mark)
+    def _key(self, one: Transaction) -> tuple[str, str] | None:
+        return None if one.asked.key is None else (one.asked.grade, one.asked.key)
 
     def _replayable(self, one: Transaction) -> bool:
         return one.generation.repeats[one.asked.grade] is Repeat.REPLAYABLE
 
     def forerunner(self, one: Transaction) -> Transaction | None:
         """The remembered transaction of which this is a repeat, or a like read whose answer still serves."""
-        mark = self._mark(one)
-        entry = self._entries.get(mark) if mark else None
-        if entry is None or mark is None:
+        key = self._key(one)
+        entry = self._entries.get(key) if key else None
+        if entry is None or key is None:
             return None
         if entry.until <= self._clock():
-            self._drop(mark)
+            self._drop(key)
             return None
         return entry.holder
 
     def remember(self, one: Transaction, span_ms: float) -> None:
-        mark = self._mark(one)
-        if mark is None:
+        key = self._key(one)
+        if key is None:
             return
         if span_ms > 0:
             referenced = one.generation.repeats[one.asked.grade] is Repeat.REFERENCED
             if referenced or one.generation.settings.fresh_ms > 0:
-                old = self._entries.get(mark)
+                old = self._entries.get(key)
                 if old is not None and old.holder is not one:
-                    self._drop(mark)
-                entry = self._entries.setdefault(mark, Entry(one, 0.0))
+                    self._drop(key)
+                entry = self._entries.setdefault(key, Entry(one, 0.0))
                 entry.until = self._clock() + span_ms
-        elif mark in self._entries and self._entries[mark].holder is one:
-            self._drop(mark)
+        elif key in self._entries and self._entries[key].holder is one:
+            self._drop(key)
 
     def join(self, one: Transaction) -> None:
         """Let a repeat have its forerunner's result, now or when it is there."""
-        mark = self._mark(one)
-        entry = self._entries.get(mark) if mark else None
+        key = self._key(one)
+        entry = self._entries.get(key) if key else None
         if entry is not None and not entry.over:
             entry.holder.joiners.append(one)
         elif entry is not None and entry.result is not None:
@@ -83,14 +83,14 @@
         joiners, one.joiners = one.joiners, []
         for each in joiners:
             each.post(Finished(Outcome.OK if outcome is Outcome.OK else Outcome.ERROR, now - each.joined_since, body))
-        mark = self._mark(one)
-        entry = self._entries.get(mark) if mark else None
-        if entry is None or mark is None or entry.holder is not one or entry.over:
+        key = self._key(one)
+        entry = self._entries.get(key) if key else None
+        if entry is None or key is None or entry.holder is not one or entry.over:
             return
         entry.over = True
         if outcome is Outcome.OK:
             entry.result = body
-            self._kept[mark] = len(body)
+            self._kept[key] = len(body)
             self._bytes += len(body)
             if self._replayable(one):
                 entry.until = min(entry.until, now + one.generation.settings.fresh_ms)
@@ -102,13 +102,13 @@
                 else:
                     self._entries[old].result = None
         elif self._replayable(one):
-            self._drop(mark)
+            self._drop(key)
 
-    def _drop(self, mark: tuple[str, str]) -> None:
-        del self._entries[mark]
-        self._bytes -= self._kept.pop(mark, 0)
+    def _drop(self, key: tuple[str, str]) -> None:
+        del self._entries[key]
+        self._bytes -= self._kept.pop(key, 0)
 
     def purge(self) -> None:
         now = self._clock()
-        for mark in [mark for mark, entry in self._entries.items() if entry.until <= now]:
-            self._drop(mark)
+        for key in [key for key, entry in self._entries.items() if entry.until <= now]:
+            self._drop(key)
--- a/nickelslip/server/transactions.py
+++ b/nickelslip/server/transactions.py
@@ -37,14 +37,14 @@
     cost_hint_ms: float | None = None
     again: bool = False
     caller: int | None = None
-    mark: str | None = None  # by which a repeat, or a read of the same subject, is known
+    key: str | None = None  # the idempotency key of a referenced one, or the subject of a read
 
     def arrival(self, number: int, now: float, forerunner: int | None) -> Arrival:
         return Arrival(
             id=number, grade=self.grade, kb=self.kb, customer=self.customer,
             due_ms=None if self.wait_ms is None else self.reached + self.wait_ms, cost_hint_ms=self.cost_hint_ms,
             again=self.again, caller=self.caller, unread_ms=max(0.0, now - self.reached), forerunner=forerunner,
-            marked=self.mark is not None)
+            keyed=self.key is not None)
 
 
 class Answer(NamedTuple):
@@ -53,7 +53,7 @@
     state: State
     said: float | None
     body: bytes = b""
-    stay_away_ms: float = 0.0
+    retry_after_ms: float = 0.0
     last: bool = False
 
 
--- a/nickelslip/server/workers.py
+++ b/nickelslip/server/workers.py
@@ -19,7 +19,7 @@
 import orjson
 
 from nickelslip.admission.interface import Gauges, Outcome, Repeat, State, Stopping
-from nickelslip.coming_up.spread import Pauses
+from nickelslip.coming_up.spread import Backoff
 from nickelslip.configuration.config import Address
 from nickelslip.server.endings import NOT_CARRIED_OUT, RUN_ENDS, Ended, Ending
 from nickelslip.server.streams import SIZE, Stream, connect
@@ -147,7 +147,7 @@
     async def run(self) -> None:
         """Keep the link, and take it up again when it is lost."""
         chance = random.Random(f"link {self._around.generation.config.name} {self._around.generation.config.seed}")
-        pauses = Pauses(chance, PAUSE_MS, PAUSE_MOST_MS, TRIES_MOST, TRIES_SPAN_MS)
+        backoff = Backoff(chance, PAUSE_MS, PAUSE_MOST_MS, TRIES_MOST, TRIES_SPAN_MS)
         while True:
             with anyio.CancelScope() as self._attempt:
                 try:
@@ -155,7 +155,7 @@
                         self._address = self._around.generation.config.pool
                         self._next = await self._connect(self._address)
                 except Ended:
-                    await anyio.sleep(pauses.after_failure(self._around.clock()) / 1000)
+                    await anyio.sleep(backoff.after_failure(self._around.clock()) / 1000)
             if self._next is None:
                 continue
             if self._address != self._around.generation.config.pool:
@@ -163,7 +163,7 @@
                 self._next.end_with(Ending.MOVED)
                 self._next = None
                 continue
-            pauses.after_success()
+            backoff.after_success()
             self._stream, self._next = self._next, None
             try:
                 self._enter(Link.BINDING)
--- a/tests/test_coming_up.py
+++ b/tests/test_coming_up.py
@@ -12,7 +12,7 @@
 
 from nickelslip.coming_up.crash_file import NAME, CrashFile
 from nickelslip.coming_up.crashes import MOST_MS, Starts
-from nickelslip.coming_up.spread import Pauses, next_in_phase, phase
+from nickelslip.coming_up.spread import Backoff, next_in_phase, phase
 from nickelslip.coming_up.start import (
     FAILS, FIRST_CALLS, LAPSE_MS, REPORTS, REST_MOST_MS, REST_SPAN_MS, SHORT_MS, Start, Step,
 )
@@ -53,15 +53,15 @@
 @given(st.integers(0, 10**6), st.lists(st.tuples(st.booleans(), st.floats(0, 300)), max_size=200))
 @settings(derandomize=True, deadline=None)
 def test_pauses_keep_their_bounds_and_the_budget_in_any_order_of_success_and_failure(seed, events):
-    pauses, now, made = Pauses(random.Random(seed), 20.0, 1000.0, 5, 2000.0), 0.0, []
+    backoff, now, made = Backoff(random.Random(seed), 20.0, 1000.0, 5, 2000.0), 0.0, []
     for failed, wait in events:
         if failed:
-            pause = pauses.after_failure(now)
+            pause = backoff.after_failure(now)
             made.append(now)
             assert 20.0 <= pause <= 2000.0
             now += pause
         else:
-            pauses.after_success()
+            backoff.after_success()
             now += wait
     assert all(later - made[at] >= 2000.0 - 1e-6 for at, later in enumerate(made[5:]))
 
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -86,10 +86,10 @@
         now, arrival = seen[0]
         assert abs(arrival.due_ms - ts - 480) < 1e-6 and abs(arrival.unread_ms - (now - ts)) < 0.5
         assert (arrival.again, arrival.caller, arrival.kb, arrival.customer) == (True, 9, 12.5, "acme")
-        assert arrival.marked
+        assert arrival.keyed
         await caller.ask(B, ts=ts + 540)
         await until(lambda: len(seen) == 2)
-        assert seen[1][1].unread_ms == 0 and not seen[1][1].again and not seen[1][1].marked
+        assert seen[1][1].unread_ms == 0 and not seen[1][1].again and not seen[1][1].keyed
 
 
 async def test_a_dismissal_says_when_to_come_back_and_the_weight_rides_on_all_answers():
