A key that comes again with another body is refused and gets nobody's result

Table.forerunner looked at grade and key alone. Excluded: the worker pool's own answers (a spawn under an unknown id is answered 'unknown' and forfeited, and none of these was ever spawned), results handed to the wrong connection (tags and connections agreed in the trial's log), spoilt bodies. Change: Node.take refuses a referenced transaction whose body or customer is not its first try's; an id that the worker pool does not know leaves no entry behind, so that it cannot keep a true repeat out; a key is 256 characters at most.

--- a/nickelslip/server/balancers.py
+++ b/nickelslip/server/balancers.py
@@ -31,6 +31,7 @@
 OPEN_MOST = 32  # transactions on one connection
 BODY_MOST = 2 * 1024
 KB_MOST = 2000.0
+KEY_MOST = 256
 TAG_DIGITS = 18
 SPAN_MOST_MS = 86_400_000.0
 BACKLOG_MOST = 64 * 1024  # unread answers over which no more is read from a connection
@@ -118,10 +119,13 @@
     if level == 1.0 or not via.isascii() or not via.isdigit() or len(via) > TAG_DIGITS:
         raise BadField("level or via")
     referenced = repeats[grade] is Repeat.REFERENCED
+    key = fields.get("opkey" if referenced else "subject")
+    if key is not None and len(key) > KEY_MOST:
+        raise BadField("opkey or subject")
     return Asked(
         ident=ident, grade=grade, body=body, reached=reached, kb=kb, customer=customer,
         wait_ms=figure(fields, "timeout", 0.0, SPAN_MOST_MS), cost_hint_ms=figure(fields, "ms", 0.0, SPAN_MOST_MS),
-        again=fields.get("resent") == "1", caller=int(via), key=fields.get("opkey" if referenced else "subject"))
+        again=fields.get("resent") == "1", caller=int(via), key=key)
 
 
 class Connection:
--- a/nickelslip/server/node.py
+++ b/nickelslip/server/node.py
@@ -99,6 +99,7 @@
         self.gauges = Gauges()
         self._control: Control | None = None
         self._deciding = False
+        self._clashes = 0  # transactions whose key is another one's
         self._wake = inf
         self._wake_moved = anyio.Event()
         self._changed = anyio.Event()
@@ -270,10 +271,15 @@
 
     def take(self, one: Transaction) -> bool:
         """A front has read this one: the module hears of it at once, under the generation in force, and its life goes
-        on in a task unless it is over already. False where there is no module to decide, or its id is in hand
-        already: then the front answers it with a failure."""
+        on in a task unless it is over already. False where there is no module to decide, its id is in hand already, or
+        its key is another one's: then the front answers it with a failure."""
         if one.number in self.transactions or self._control is None or one.generation is not self.generation:
             return False
+        if self.table.clashes(one):
+            self._clashes += 1
+            if not self._clashes & (self._clashes - 1):
+                self.log.warning("a key that stands for another transaction", so_far=self._clashes)
+            return False
         self.transactions[one.number] = one
         if self.meter is not None:
             if not one.asked.again:
--- a/nickelslip/server/table.py
+++ b/nickelslip/server/table.py
@@ -51,6 +51,19 @@
             return None
         return entry.holder
 
+    def clashes(self, one: Transaction) -> bool:
+        """Whether its idempotency key stands for another transaction: a repeat has its first try's body and customer.
+        Joined, whoever has seen a key would be answered with what was never made for it."""
+        earlier = self.forerunner(one)
+        return (earlier is not None and one.generation.repeats[one.asked.grade] is Repeat.REFERENCED
+                and (earlier.asked.body, earlier.asked.customer) != (one.asked.body, one.asked.customer))
+
+    def forget(self, one: Transaction) -> None:
+        """It is proven never to have run: who comes under its key is the first."""
+        key = self._key(one)
+        if key is not None and key in self._entries and self._entries[key].holder is one:
+            self._drop(key)
+
     def remember(self, one: Transaction, span_ms: float) -> None:
         key = self._key(one)
         if key is None:
@@ -63,8 +76,8 @@
                     self._drop(key)
                 entry = self._entries.setdefault(key, Entry(one, 0.0))
                 entry.until = self._clock() + span_ms
-        elif key in self._entries and self._entries[key].holder is one:
-            self._drop(key)
+        else:
+            self.forget(one)
 
     def join(self, one: Transaction) -> None:
         """Let a repeat have its forerunner's result, now or when it is there."""
--- a/nickelslip/server/transactions.py
+++ b/nickelslip/server/transactions.py
@@ -72,11 +72,12 @@
 
 
 class Finished(NamedTuple):
-    """Its run, or its joining of a forerunner, is over."""
+    """Its run, or its joining of a forerunner, is over; or it is told that it never ran."""
 
     outcome: Outcome
     took_ms: float
     body: bytes = b""
+    ran: bool = True
 
 
 class Gone(NamedTuple):
@@ -107,6 +108,7 @@
 
     def join(self, one: Transaction) -> None: ...
     def settle(self, one: Transaction, outcome: Outcome, body: bytes = b"") -> None: ...
+    def forget(self, one: Transaction) -> None: ...
 
 
 class Leads(Protocol):
@@ -233,7 +235,7 @@
                 else:
                     one.enter(State.AT_CALL)
                 lead.call_returned(one, outcome, lead.clock() - one.call_since)
-            case Finished(outcome, took_ms, body):
+            case Finished(outcome, took_ms, body, ran):
                 if one.state is State.CALLING:
                     lead.records.give_up(one)
                 one.run_out = False
@@ -246,6 +248,8 @@
                 one.answer(Answer(end, lead.said, body))
                 one.enter(end)
                 lead.table.settle(one, outcome, body)
+                if not ran:
+                    lead.table.forget(one)
             case Gone() if one.state not in (State.SPENT, *FINAL):
                 if one.state is State.CALLING:
                     lead.records.give_up(one)
--- a/nickelslip/server/workers.py
+++ b/nickelslip/server/workers.py
@@ -337,4 +337,4 @@
     def _unknown(self, command: str, one: Transaction | None) -> None:
         self._around.log.warning("command not carried out", command=command, known=one is not None)
         if one is not None and command == "spawn":
-            one.post(Finished(NOT_CARRIED_OUT, 0.0))
+            one.post(Finished(NOT_CARRIED_OUT, 0.0, ran=False))
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -22,6 +22,7 @@
 from nickelslip.server.changing import Changing, begin
 from nickelslip.server.control_socket import ControlSocket
 from nickelslip.configuration.config import ChangeRules, Config, config_of
+from nickelslip.configuration.generations import Generation
 from nickelslip.configuration.store import Store
 from nickelslip.server.node import Node, Phase
 
@@ -443,6 +444,10 @@
         """Apply a document over the one in force, as an operator would."""
         return await self.changing.command({"do": "apply", "document": part, **more})
 
+    def renew(self) -> None:
+        """Have the server, which has read nothing yet, begin under the settings as they are told now."""
+        self.node.generation = Generation(1, self.read())
+
     async def move(self) -> None:
         """Have new stand-ins take the place of the worker pool and the records, which are up, and tell the server."""
         self.pool, self.records = await self.another_pool(), Service()
--- /dev/null
+++ b/tests/test_repeats.py
@@ -0,0 +1,55 @@
+"""Repeats of a transaction that runs once within its window: what is taken for one, and when."""
+
+import pytest
+
+from tests.helpers import A, B, C, Place, until
+
+pytestmark = pytest.mark.anyio
+D = "00000000000000d4"
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio", {"use_uvloop": True}
+
+
+@pytest.mark.parametrize("over", (False, True))
+@pytest.mark.parametrize("other", ({"body": b"another"}, {"owner": "other"}))
+async def test_a_key_seen_and_sent_with_another_body_or_by_another_customer_brings_nobodys_result(over, other):
+    async with Place() as place:
+        place.told["tenants"].append({"name": "other", "quota-rps": 100.0})
+        place.renew()
+        caller, stranger = await (await place.up()).caller(), await place.caller()
+        await place.running(caller, A, "book", opkey="k1")
+        if over:
+            await place.pool.finish(A, body=b"once")
+            assert (await caller.answer())[1::2] == ("done", b"once")
+        await stranger.ask(B, "book", opkey="k1", **other)
+        assert (await stranger.answer())[:2] == (1, "error")  # at once, not when the other one ends
+        if not over:
+            await place.pool.finish(A, body=b"once")
+            assert (await caller.answer())[1::2] == ("done", b"once")
+        await caller.ask(C, "book", opkey="k1", resent=1)
+        assert (await caller.answer())[1::2] == ("done", b"once")  # and a true repeat has it as before
+        assert not place.pool.told("spawn", B) and not place.pool.told("spawn", C)
+
+
+async def test_a_key_that_came_with_an_id_nobody_knows_is_free_for_the_one_that_is_known():
+    async with Place() as place:
+        stranger, caller = await (await place.up()).caller(), await place.caller()
+        await place.running(stranger, A, "book", opkey="k1", body=b"made up")
+        await place.pool.say(op="unknown", end="spawn", id=A)
+        assert (await stranger.answer())[1] == "error"
+        await until(lambda: not place.node.transactions)
+        await place.running(caller, B, "book", opkey="k1")
+        await place.pool.finish(B, body=b"once")
+        assert (await caller.answer())[1::2] == ("done", b"once")
+
+
+async def test_a_key_longer_than_any_is_refused():
+    async with Place() as place:
+        caller = await (await place.up()).caller()
+        await caller.ask(A, "book", opkey="k" * 257)
+        assert (await caller.answer())[1] == "error" and not place.pool.told("spawn", A)
+        await caller.ask(D, "read", subject="k" * 257)
+        assert (await caller.answer())[1] == "error"
