Connections end by a lingering close, and the door is shut when the grace is over

Cause, by probe (tests/test_closing.py and test_shutdown.py on the text before): where a transaction lay in the system's hands when the server ended a connection (Balancers.trim, _make_room, _accept with a full table, the end of patience, the end of leave), Stream.end_with closed over it, the peer was reset, and what it had not read of earlier answers went along; Connection.idle knew this process's bytes alone. A client that rests until the server ends it held leave to 0.68 of 0.70 s before the kill. An accept that told of a newcomer's failure (EPROTO, ENETUNREACH) ended the server. Excluded: patience that ends just as bytes arrive (fill looks once more, and finds them), half a message at the drain (it was waited for). Change: Stream.shut_down and linger; Connection.part ends one only where nothing is open, half read, unsent or unread, and what comes after crosses a plain end; those that lingered for what crosses a close (50 ms) give their descriptors first. leave tells all, ends those that rest after twice that, and cuts off what is left so much before the end. shut_door is called at the end of the grace; a filter that drops newcomers closes the instant between the last accept and the close. Descriptors are shared out by arithmetic in place of 64 for everything else, so that small limits are served, too.

--- /dev/null
+++ b/nickelslip/configuration/descriptors.py
@@ -0,0 +1,31 @@
+"""How the descriptors of this process are shared out.
+
+Owns the one sum by which connections of balancers, those that linger, and calls keep out of each other's way, whatever
+the limit is. It does no I/O and never counts what is open: each part keeps to its own share.
+"""
+
+from __future__ import annotations
+
+from math import ceil
+from typing import NamedTuple
+
+OWN = 20  # standard streams, event loop, listener, the worker pool's link and the one that follows it, the report
+CALLS_LEAST = 16  # connections for calls that may stand unused
+CALLS_PART, LINGERING_PART = 4, 8  # of what is left one in so many at most is for calls, and for those that linger
+LINGERING_MOST = 16
+
+
+class Shares(NamedTuple):
+    """Descriptors at most for each of them."""
+
+    balancers: int
+    lingering: int  # beyond the balancers' own, and short-lived
+    calls: int
+
+
+def shares_of(descriptors: int, calls_out: float) -> Shares:
+    """The shares of a limit on descriptors, where so many calls may be out in the mean. Each has one at least."""
+    left = max(8, descriptors - OWN)
+    calls = max(1, min(left // CALLS_PART, CALLS_LEAST + 2 * ceil(calls_out)))
+    lingering = max(1, min(left // LINGERING_PART, LINGERING_MOST))
+    return Shares(max(1, left - calls - lingering), lingering, calls)
--- a/nickelslip/configuration/document.py
+++ b/nickelslip/configuration/document.py
@@ -14,6 +14,7 @@
 
 from nickelslip.admission.interface import Customer, Grade, Repeat, Said, Settings, Stopping
 from nickelslip.configuration.config import ChangeRules, Config, address_from, config_of
+from nickelslip.configuration.descriptors import shares_of
 from nickelslip.configuration.faults import Fault, Faulty, Gravity, Path, grave
 from nickelslip.configuration.schema import NAMED, NAMED_MOST, NEEDED, SECTIONS, VERSION, Kind, Word
 from nickelslip.configuration.text import Read
@@ -25,7 +26,7 @@
 SAID = {"nothing": Said.NOTHING, "chance": Said.CHANCE, "slots": Said.SLOTS, "rank": Said.RANK}
 PLATFORM_KEYS = frozenset({"settings", "limits", "lookup"})  # by which its form is told from ours
 SOCKET_PATH_MOST = 100  # bytes that the system takes for the path of a local socket, with room for its end
-DESCRIPTORS_ELSE = 64  # beside balancers' connections
+CALLERS_LEAST = 32  # connections, under which a configuration is warned of
 
 
 def is_platforms(value: object) -> bool:
@@ -208,8 +209,9 @@
         say("machine.running_most", "over what a warm server survives; the crowd stays the limit", Gravity.WARNING)
     if calls["share"] and not calls["span_ms"]:
         say("calls.span_ms", "a share of calls needs the span over which it is counted")
-    if node["descriptors"] <= DESCRIPTORS_ELSE + 32:
-        say("node.descriptors", f"{DESCRIPTORS_ELSE} are needed beside callers' connections", Gravity.WARNING)
+    callers = shares_of(node["descriptors"], calls["share"] or 0.0).balancers
+    if callers < CALLERS_LEAST:
+        say("node.descriptors", f"only {callers} are left for callers' connections", Gravity.WARNING)
     if whole["store"]["entry_kb"] > machine["memory_kb"]:
         say("store.entry_kb", "over machine.memory_kb")
     shares = [each["share_per_s"] for each in whole["customers"].values()]
--- a/nickelslip/configuration/generations.py
+++ b/nickelslip/configuration/generations.py
@@ -15,6 +15,7 @@
 
 from nickelslip.admission.interface import Repeat, Settings
 from nickelslip.configuration.config import Config
+from nickelslip.configuration.descriptors import Shares, shares_of
 
 RESULTS_PART = 1 / 4  # of this process's memory, for results that repeats may still ask for
 ENTRY_KB = 6.0  # an entry of the table in this process, with a result of the largest size
@@ -52,6 +53,11 @@
         """The longest that any caller waits."""
         return max(grade.abandon_ms for grade in self.config.settings.grades)
 
+    @cached_property
+    def shares(self) -> Shares:
+        """Of this process's descriptors."""
+        return shares_of(self.config.descriptors, self.config.settings.call_share)
+
     @cached_property
     def quoted_ms(self) -> Mapping[str, float]:
         return MappingProxyType({grade.name: grade.quoted_ms for grade in self.config.settings.grades})
--- a/nickelslip/server/balancers.py
+++ b/nickelslip/server/balancers.py
@@ -10,8 +10,11 @@
 import errno
 import math
 import socket
+import struct
+from array import array
 from collections import Counter
 from collections.abc import Mapping
+from contextlib import suppress
 from itertools import islice
 from math import inf
 from typing import TYPE_CHECKING
@@ -35,15 +38,19 @@
 TAG_DIGITS = 18
 SPAN_MOST_MS = 86_400_000.0
 BACKLOG_MOST = 64 * 1024  # unread answers over which no more is read from a connection
-DESCRIPTORS_ELSE = 64  # what the process needs beside balancers' connections, most of it for calls
 PATIENCE_MS = 2000.0  # from a connection's start to its first message, and from a message's begin to its end
 AHEAD_MS = 1000.0  # by which a caller's clock may be before this one's
 FAULTS_MOST = 64  # in a row: more come from something that will not learn
 BACKLOG = 1024  # connections that the system keeps for this server
 ACCEPTS_MOST = 32  # of them at once
+CROSSING_MS = 50.0  # what crosses a close by no more is sent again, by the protocol
 OLDEST = 8  # of those that never said anything, among whom one with nothing to be read goes first
 ACCEPT_PAUSE_S = 0.05
 FULL = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+SO_ATTACH_FILTER = 26
+FAILED_BEFORE = (  # what an accept may tell of the connection that it would have brought: the next one may be well
+    errno.ECONNABORTED, errno.EPROTO, errno.ENOPROTOOPT, errno.EHOSTDOWN, errno.EHOSTUNREACH, errno.ENETDOWN,
+    errno.ENETUNREACH, errno.ENONET, errno.EOPNOTSUPP, errno.EPERM, errno.ETIMEDOUT)
 WORDS = {State.SATISFIED: b"done", State.DISMISSED: b"later", State.FORFEITED: b"error"}
 
 
@@ -61,6 +68,15 @@
     return sock
 
 
+def refuse_newcomers(listener: socket.socket) -> None:
+    """Have the system pass over whoever knocks from here on: what came about between the last accept and the close
+    would be reset with its first transaction. Told again a second later, a newcomer meets a closed door, which proves
+    that nothing ran. Where the system has no such filter that instant stays open."""
+    drop_all = array("B", struct.pack("HBBI", 0x06, 0, 0, 0))  # one instruction: return 0 bytes of each packet
+    with suppress(OSError):
+        listener.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, struct.pack("@HP", 1, drop_all.buffer_info()[0]))
+
+
 class BadField(Exception):
     """A field that is missing, doubled or out of range."""
 
@@ -140,6 +156,7 @@
         self.proven = False  # something that could be understood came on it
         self._faults = 0
         self.closing = False
+        self.parted: float | None = None  # when it began to end
         self._quiet = anyio.Event()
 
     async def serve(self) -> None:
@@ -154,7 +171,7 @@
                     raise Ended(Ending.GARBLED, "nothing but faults")
         except Ended as ended:
             fault = ended
-            if ended.ending in (Ending.GARBLED, Ending.STALLED, Ending.SHED):
+            if ended.ending not in (Ending.CLOSED, Ending.RESET):
                 await self._answer_the_rest()
         except Exception as error:  # this connection alone ends, with all that it brought answered
             fault = Ended(Ending.FAULT, repr(error))
@@ -264,7 +281,23 @@
 
     @property
     def idle(self) -> bool:
-        return not self._open and self.stream.data is None
+        """Nothing is owed on it: nothing open, no half message, all sent."""
+        return not self._open and self.stream.data is None and self.stream.all_sent
+
+    def part(self, ending: Ending) -> bool:
+        """Begin to end it where nothing is owed on it, as far as can be seen: neither here nor, unread, in the system.
+        What comes from here on crosses the close. False where something is owed."""
+        if not self.idle or not self.stream.quiet:
+            return False
+        self.cut_off(ending)
+        return True
+
+    def cut_off(self, ending: Ending) -> None:
+        """Begin to end it whatever may be unread on it: there is no time, or no room, to answer more. What is open on
+        it is still owed."""
+        if self.parted is None and not self._open:
+            self.parted = self._host.clock()
+            self.stream.shut_down(ending)
 
     async def _answer_the_rest(self) -> None:
         """Nothing more is understood here, but what was read is still answered."""
@@ -290,13 +323,10 @@
         self.host, self._listener = host, listener
         self._connections: set[Connection] = set()
         self.silent: dict[Connection, None] = {}  # those of them that have proven nothing yet, the oldest first
+        self._parting: dict[Connection, None] = {}  # those that linger, the first to do so first
         self._bad = 0
         self._endings: Counter[Ending] = Counter()
 
-    @property
-    def _most(self) -> int:
-        return self.host.generation.config.descriptors - DESCRIPTORS_ELSE
-
     def tell_bad(self, what: str) -> None:
         """Malformed transactions: the first, and then every power of two of them, makes a line."""
         self._bad += 1
@@ -312,7 +342,7 @@
                                    so_far=count)
 
     async def serve(self) -> None:
-        """Accept until the server leaves."""
+        """Accept until the door is shut."""
         while True:
             try:
                 await anyio.wait_readable(self._listener)
@@ -322,43 +352,63 @@
                 await anyio.sleep(ACCEPT_PAUSE_S)
 
     def _accept(self, most: int = ACCEPTS_MOST) -> bool:
-        """Take some of the connections that wait; whether the system had no descriptor for one. Not all, so that
-        those that were taken are read before others crowd them out."""
+        """Take some of the connections that wait; whether none can be taken for the moment. Not all, so that those that
+        were taken are read before others crowd them out."""
+        shares = self.host.generation.shares
         for _ in range(most):
+            if len(self._connections) >= shares.balancers + shares.lingering and not self._cut_lingering():
+                return True
             try:
                 sock, _ = self._listener.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+            except (BlockingIOError, InterruptedError):
                 return False
             except OSError as error:
+                if error.errno in FAILED_BEFORE:
+                    continue
                 if error.errno not in FULL:
                     raise
-                return not self._make_room()
-            if len(self._connections) >= self._most and not self._make_room():
-                sock.close()  # nothing was read: whoever it is may go elsewhere at once
-                self.tell_ended(Ended(Ending.SHED, "no connection could be ended for it"))
-                continue
+                return not (self._cut_lingering() or self._make_room())
+            full = len(self._connections) - len(self._parting) >= shares.balancers
+            roomy = not full or self._make_room()
             connection = Connection(self, sock)
             self._connections.add(connection)
             self.silent[connection] = None
             self.host.tasks.start_soon(self.host.guard, self._serve, connection)
+            if not roomy:  # whoever it is may go elsewhere at once: nothing was read
+                connection.cut_off(Ending.SHED)
+                self._note_parting(connection)
         return False
 
     def _make_room(self) -> bool:
-        """End one connection on which nothing is open: the one that has said nothing for the longest time if there
-        are any that never said anything, else the one unused for the longest. Those who connect and say nothing
+        """Begin to end one connection on which nothing is owed: the one that has said nothing for the longest time if
+        there are any that never said anything, else the one unused for the longest. Those who connect and say nothing
         cannot fill the table; a caller that holds its connection for long opens another."""
-        oldest = list(islice(self.silent, OLDEST))
-        longest = next((each for each in oldest if each.stream.quiet), oldest[0] if oldest else None)
-        if longest is None:
-            longest = min((each for each in self._connections if each.idle), key=lambda each: each.used, default=None)
-        if longest is None:
-            return False
-        self._forget(longest)
-        longest.stream.end_with(Ending.SHED)
-        return True
+        chosen = next((each for each in list(islice(self.silent, OLDEST)) if each.part(Ending.SHED)), None)
+        if chosen is None:
+            idle = sorted((each for each in self._connections if each.proven and each.idle), key=lambda each: each.used)
+            chosen = next((each for each in idle if each.part(Ending.SHED)), None)
+        if chosen is not None:
+            self._note_parting(chosen)
+        return chosen is not None
+
+    def _cut_lingering(self) -> bool:
+        """Free a descriptor at once: of those that linger, the first that has done so for as long as what crosses a
+        close may take, or that never said anything, so that nothing of it can be lost."""
+        now = self.host.clock()
+        for connection in self._parting:
+            if not connection.proven or now - (connection.parted or now) >= CROSSING_MS:
+                self._forget(connection)
+                connection.stream.end_with(Ending.SHED)
+                return True
+        return False
+
+    def _note_parting(self, connection: Connection) -> None:
+        self.silent.pop(connection, None)
+        self._parting[connection] = None
 
     def _forget(self, connection: Connection) -> None:
         self._connections.discard(connection)
+        self._parting.pop(connection, None)
         self.silent.pop(connection, None)
 
     async def _serve(self, connection: Connection) -> None:
@@ -371,18 +421,32 @@
         """Have connections closed that were unused for so long; one that is told and stays is ended."""
         now = self.host.clock()
         for connection in list(self._connections):
-            if connection.idle and now - connection.used > idle_ms:
+            if connection.idle and connection.parted is None and now - connection.used > idle_ms:
                 if not connection.closing:
                     connection.close()
-                elif now - connection.used > idle_ms + self.host.generation.stall_ms:
-                    connection.stream.end_with(Ending.IDLE)
+                elif now - connection.used > idle_ms + self.host.generation.stall_ms and connection.part(Ending.IDLE):
+                    self._note_parting(connection)
 
-    async def leave(self) -> None:
-        """Accept what already stands at the door, close it, and see every connection off."""
+    def shut_door(self) -> None:
+        """Take what already stands at the door, and shut it."""
+        if self._listener.fileno() < 0:
+            return
+        refuse_newcomers(self._listener)
         self._accept(BACKLOG)
         anyio.notify_closing(self._listener)
         self._listener.close()
+
+    async def leave(self, left_ms: float) -> None:
+        """See every connection off within this time. Balancers close when they are told; what rests until the server
+        ends it is ended once nothing that they sent before they heard can still come."""
+        self.shut_door()
         for connection in list(self._connections):
             connection.close()
+        begun = self.host.clock()
         while self._connections:
             await anyio.sleep(ACCEPT_PAUSE_S)
+            for connection in list(self._connections):
+                if self.host.clock() >= begun + left_ms - CROSSING_MS:
+                    connection.cut_off(Ending.LEFT)
+                elif connection.parted is None and self.host.clock() >= begun + 2 * CROSSING_MS:
+                    connection.part(Ending.LEFT)
--- a/nickelslip/server/node.py
+++ b/nickelslip/server/node.py
@@ -60,7 +60,8 @@
 
     async def serve(self) -> None: ...
     def trim(self, idle_ms: float) -> None: ...
-    async def leave(self) -> None: ...
+    def shut_door(self) -> None: ...
+    async def leave(self, left_ms: float) -> None: ...
 
 
 class Reloads(Protocol):
@@ -246,6 +247,8 @@
             with anyio.move_on_after(max(until_ms, 0.0) / 1000):
                 while self.phase is Phase.DRAINING:
                     await self._change()
+            for front in self.fronts:  # what comes from here on is not run, and does better elsewhere at once
+                front.shut_door()
         while self.phase is Phase.DRAINING and any(
                 not one.answered and not one.gone for one in self.transactions.values()):
             await self._change()
@@ -253,8 +256,9 @@
         left = min(self._kill - self.clock(), self.generation.config.stop_ms)
         left -= self.generation.settings.answer_slack_ms
         with anyio.move_on_after(max(left, 0.0) / 1000):
-            for front in self.fronts:
-                await front.leave()
+            async with anyio.create_task_group() as leaving:
+                for front in self.fronts:
+                    leaving.start_soon(front.leave, left)
         self.log.info("ended", in_hand=len(self.transactions))
 
     def _tell_change(self) -> None:
--- a/nickelslip/server/streams.py
+++ b/nickelslip/server/streams.py
@@ -63,14 +63,16 @@
         self._out: deque[tuple[bytearray, int]] = deque()  # full ones but the last, and how much each holds
         self._out_from = 0
         self._room = anyio.Event()
+        self.shut: Ending | None = None  # why nothing more is sent, while the other side may still send
         self.ending: Ending | None = None
 
     # Reading
 
     async def fill(self, wait_ms: float = inf) -> None:
-        """Wait until more was read; a buffer is held only while something in it is unfinished."""
-        if self.ending:
-            raise Ended(self.ending)
+        """Wait until more was read; a buffer is held only while something in it is unfinished. What comes once nothing
+        more is sent is not read here: it could not be answered."""
+        if over := self.shut or self.ending:
+            raise Ended(over)
         if self.data is not None:
             wait_ms = min(wait_ms, self._stall_s * 1000)
         late = None
@@ -81,8 +83,8 @@
                 await self._until(anyio.wait_readable)
             if wait.cancelled_caught:  # unless this server stood still itself, and it has long been there
                 late = Ending.SILENT if self.data is None else Ending.STALLED
-        if self.ending:
-            raise Ended(self.ending)
+        if over := self.shut or self.ending:
+            raise Ended(over)
         if self.data is None:
             self.data, self.start, self.end = self._buffers.take(self._own), 0, 0
         elif self.start:
@@ -118,13 +120,13 @@
             await self._room.wait()
 
     async def linger(self) -> None:
-        """Say that nothing more is sent, and pass over what still comes until the other side closes, for a moment:
-        closed with something unread, the connection would take answers along that are on their way. Whoever sends
-        without end is read no faster than a little at a time, and not for long."""
+        """The rest of a lingering close: nothing more is sent, and what still comes is passed over until the other side
+        closes, for a moment; closed with something unread, the connection would take answers along that are on their
+        way. Whoever sends without end is read no faster than a little at a time, and not for long."""
+        self.shut_down(Ending.LEFT)
         with anyio.move_on_after(LINGER_S):
             try:
-                self._sock.shutdown(socket.SHUT_WR)
-                while True:
+                while not self.ending:
                     self.take(self.end)
                     await self._until(anyio.wait_readable)
                     if not self._sock.recv_into(PASSED_OVER):
@@ -137,14 +139,14 @@
         try:
             await ready(self._sock)
         except (anyio.ClosedResourceError, OSError, ValueError):
-            raise Ended(self.ending or Ending.RESET) from None
+            raise Ended(self.shut or self.ending or Ending.RESET) from None
 
     # Writing
 
     def write(self, data: bytes) -> bool:
         """Send at once what the socket takes; the rest follows from the backlog. Of an end the reader hears. False
         proves that nothing of it has left."""
-        if self.ending:
+        if self.shut or self.ending:
             return False
         sent = 0
         if not self._out:
@@ -199,7 +201,7 @@
     @property
     def quiet(self) -> bool:
         """Whether it stands, with nothing to be read: neither bytes nor its end."""
-        if self.ending or self.data is not None:
+        if self.shut or self.ending or self.data is not None:
             return False
         try:
             self._sock.recv(1, socket.MSG_PEEK)
@@ -215,6 +217,19 @@
 
     # The end
 
+    def shut_down(self, ending: Ending) -> None:
+        """Begin a lingering close: say that nothing more is sent. Whoever reads the stream hears of the ending, and
+        goes on with linger(). To be called when all is sent; only the first one counts."""
+        if self.shut or self.ending:
+            return
+        self.shut = ending
+        try:
+            self._sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self.end_with(Ending.RESET)
+            return
+        anyio.notify_closing(self._sock)
+
     def end_with(self, ending: Ending) -> None:
         """End the stream; whoever reads it hears of the ending. Only the first one counts."""
         if self.ending:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -4,6 +4,7 @@
 
 import copy
 import json
+import socket
 import time
 from base64 import b64encode
 from collections.abc import Callable
@@ -393,6 +394,51 @@
                 return True
 
 
+def asking(ident: str, grade: str = "read", tag: int = 2, body: bytes = b"body", **fields: object) -> bytes:
+    """The bytes of one transaction as a balancer sends it; a field that is None is left out."""
+    known = {"req": ident, "ts": int(time.time() * 1000), "via": 4, "owner": "acme", "timeout": 2500, "need": 24.5,
+             "level": 0.5, **fields}
+    text = ",".join(f"{name}={value}" for name, value in known.items() if value is not None)
+    return resp.message(b"ASK", b"%d" % tag, grade.encode(), text.encode(), body)
+
+
+class Peer:
+    """A client's connection whose every send is in the system's hands before it returns, so that a test says itself
+    which of two things comes first."""
+
+    def __init__(self, port: int) -> None:
+        self.sock = socket.create_connection(("127.0.0.1", port))
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.sock.setblocking(False)
+        self.name = self.sock.getsockname()
+
+    def send(self, data: bytes) -> None:
+        self.sock.sendall(data)
+
+    async def until(self, word: bytes, wait_s: float = 3.0) -> bytes:
+        """All that came up to this word."""
+        got = b""
+        with anyio.fail_after(wait_s):
+            while word not in got:
+                await anyio.wait_readable(self.sock)
+                more = self.sock.recv(65536)
+                assert more, f"it ended after {got!r}"
+                got += more
+        return got
+
+    async def to_the_end(self, wait_s: float = 3.0) -> bytes:
+        """All that came up to a plain end; a reset fails the test."""
+        got = b""
+        with anyio.fail_after(wait_s):
+            while True:
+                await anyio.wait_readable(self.sock)
+                more = self.sock.recv(65536)
+                if not more:
+                    self.sock.close()
+                    return got
+                got += more
+
+
 class Place:
     """A server among its stand-ins: here, or in a process of its own."""
 
@@ -448,6 +494,11 @@
         """Have the server, which has read nothing yet, begin under the settings as they are told now."""
         self.node.generation = Generation(1, self.read())
 
+    def share_out(self, **shares: int) -> None:
+        """Have so many descriptors for each part, in place of what follows from the limit."""
+        generation = self.node.generation
+        vars(generation)["shares"] = generation.shares._replace(**shares)
+
     async def move(self) -> None:
         """Have new stand-ins take the place of the worker pool and the records, which are up, and tell the server."""
         self.pool, self.records = await self.another_pool(), Service()
--- /dev/null
+++ b/tests/test_closing.py
@@ -0,0 +1,226 @@
+"""Connections that the server ends, in the instant in which something comes on them: both sides held until that
+instant, in each of the two orders."""
+
+import errno
+from math import inf
+
+import anyio
+import pytest
+
+from nickelslip.server import balancers, resp
+from nickelslip.server.balancers import Connection
+from nickelslip.server.endings import Ended, Ending
+from nickelslip.server.streams import Stream
+from tests.helpers import A, B, Peer, Place, asking, until
+
+pytestmark = pytest.mark.anyio
+STATUS = resp.message(b"STATUS", b"1")
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio", {"use_uvloop": True}
+
+
+def here(place: Place, peer: Peer) -> Connection | None:
+    """The server's side of it."""
+    return next((each for each in place.node.fronts[0]._connections
+                 if not each.stream.ending and each.stream._sock.getpeername() == peer.name), None)
+
+
+def rested(place: Place, peer: Peer, ago_ms: float) -> None:
+    """Have its connection be one that was last used so long ago."""
+    here(place, peer).used -= ago_ms
+
+
+async def resting(place: Place) -> Peer:
+    """One that has asked once, has not read what it was answered, and rests."""
+    peer = Peer(place.port)
+    peer.send(STATUS)
+    await until(lambda: (side := here(place, peer)) is not None and side.proven and side.idle)
+    return peer
+
+
+# A connection that has rested too long, and a transaction
+
+
+async def test_a_transaction_that_came_just_before_its_resting_connection_was_to_be_ended_is_answered():
+    async with Place() as place:
+        await place.up()
+        front, peer = place.node.fronts[0], await resting(place)
+        rested(place, peer, 1000.0)
+        front.trim(500.0)  # it is told; and rests on, as some clients do
+        rested(place, peer, 1000.0 + place.node.generation.stall_ms)
+        peer.send(asking(A))  # in the system's hands, unread here
+        front.trim(500.0)
+        await until(lambda: place.pool.told("spawn", A))
+        await place.pool.finish(A)
+        assert b"healthy" in (got := await peer.until(b"result")) and got.count(b"done") == 1
+
+
+async def test_a_transaction_that_comes_just_after_its_resting_connection_was_ended_destroys_no_answer():
+    async with Place() as place:
+        await place.up()
+        front, peer = place.node.fronts[0], await resting(place)
+        rested(place, peer, 1000.0)
+        front.trim(500.0)
+        rested(place, peer, 1000.0 + place.node.generation.stall_ms)
+        front.trim(500.0)
+        peer.send(asking(A))  # the end has been sent and not been read
+        got = await peer.to_the_end()  # and not a reset, which would take the first answer along
+        assert b"healthy" in got and b"closing" in got and not place.pool.told("spawn", A)
+        await until(lambda: not front._connections)
+
+
+async def test_where_places_run_short_one_with_something_unread_is_not_the_one_to_go():
+    async with Place() as place:
+        await place.up()
+        place.share_out(balancers=2)
+        asked, rests = await resting(place), await resting(place)
+        rested(place, asked, 1000.0)  # unused for longest
+        asked.send(asking(A))
+        knocking = Peer(place.port)
+        place.node.fronts[0]._accept()
+        await until(lambda: place.pool.told("spawn", A))
+        await place.pool.finish(A)
+        assert b"result" in await asked.until(b"result")
+        rests.send(asking(B))  # crosses its end
+        assert b"healthy" in await rests.to_the_end() and not place.pool.told("spawn", B)
+        knocking.send(STATUS)
+        assert b"healthy" in await knocking.until(b"healthy")
+
+
+async def test_one_that_finds_no_place_is_ended_without_a_reset_under_what_it_brought():
+    async with Place(cpus=32) as place:
+        caller = await (await place.up()).caller()
+        place.share_out(balancers=1)
+        await place.running(caller, A)
+        late = Peer(place.port)
+        late.send(asking(B))
+        place.node.fronts[0]._accept()
+        assert await late.to_the_end() == b"" and not place.pool.told("spawn", B)
+        await place.pool.finish(A)
+        assert (await caller.answer())[:2] == (1, "done")
+
+
+@pytest.mark.parametrize("order", ("before", "after"))
+async def test_a_first_transaction_that_crosses_the_end_of_patience_is_answered_or_ends_plainly(order, monkeypatch):
+    monkeypatch.setattr(balancers, "PATIENCE_MS", 100.0)
+    peers = []
+    fill = Stream.fill
+
+    async def crossed(self, wait_ms=inf):
+        try:
+            await fill(self, wait_ms)
+        except Ended as ended:
+            if ended.ending is Ending.SILENT and peers:
+                peers.pop().send(asking(A))  # when the last look has found nothing, and before anything is ended
+            raise
+
+    async with Place() as place:
+        await place.up()
+        if order == "after":
+            monkeypatch.setattr(Stream, "fill", crossed)
+        peer = Peer(place.port)
+        peers.append(peer)
+        if order == "after":
+            assert await peer.to_the_end() == b"" and not place.pool.told("spawn", A)
+        else:
+            await until(lambda: place.node.fronts[0]._connections)
+            with anyio.move_on_after(0.05):
+                await anyio.sleep(1)
+            peer.send(asking(A))
+            await until(lambda: place.pool.told("spawn", A))
+            await place.pool.finish(A)
+            assert b"result" in await peer.until(b"result")
+
+
+async def test_half_a_message_keeps_its_connection_until_it_is_whole():
+    async with Place() as place:
+        await place.up()
+        front, peer, whole = place.node.fronts[0], await resting(place), asking(A)
+        peer.send(whole[:20])
+        await until(lambda: any(each.stream.data is not None for each in front._connections))
+        rested(place, peer, 1e6)
+        front.trim(500.0)
+        front.trim(500.0)
+        assert not front._make_room()
+        peer.send(whole[20:])
+        await until(lambda: place.pool.told("spawn", A))
+        await place.pool.finish(A)
+        assert b"result" in await peer.until(b"result")
+
+
+async def test_an_answer_that_is_still_on_its_way_keeps_its_connection():
+    async with Place() as place:
+        await place.up()
+        front, peer = place.node.fronts[0], await resting(place)
+        (connection,) = front._connections
+        connection.stream._keep(memoryview(b"rest of an answer"))
+        rested(place, peer, 1e6)
+        front.trim(500.0)
+        front.trim(500.0)
+        assert not front._make_room() and connection.parted is None
+
+
+# Those that linger
+
+
+async def test_those_that_linger_give_their_descriptors_once_nothing_can_cross_any_more_and_no_sooner():
+    async with Place() as place:
+        await place.up()
+        place.share_out(balancers=1, lingering=1)
+        front, first = place.node.fronts[0], await resting(place)
+        second, third = await connected(place, first), Peer(place.port)
+        third.send(STATUS)
+        front._accept()
+        assert here(place, first).parted and here(place, third) is None  # it waits at the door
+        second.send(STATUS)
+        assert b"healthy" in await second.until(b"healthy")
+        assert b"healthy" in await third.until(b"healthy") and b"healthy" in await first.to_the_end()
+
+
+async def connected(place: Place, other: Peer) -> Peer:
+    """A newcomer that is taken at once, for which another one has to go."""
+    peer = Peer(place.port)
+    place.node.fronts[0]._accept()
+    assert here(place, peer) and here(place, other).parted
+    return peer
+
+
+async def test_a_crowd_of_the_silent_is_ended_for_those_who_ask_however_many_linger():
+    async with Place() as place:
+        await place.up()
+        place.share_out(balancers=8, lingering=2)
+        crowd = [Peer(place.port) for _ in range(40)]
+        last = Peer(place.port)
+        last.send(asking(A))
+        await until(lambda: place.pool.told("spawn", A), 1.0)
+        assert len(place.node.fronts[0]._connections) <= 10
+        await place.pool.finish(A)
+        assert b"result" in await last.until(b"result")
+        for each in crowd[:30]:
+            assert await each.to_the_end() == b""
+
+
+@pytest.mark.parametrize("code", (errno.ECONNABORTED, errno.EPROTO, errno.ENETUNREACH))
+async def test_a_newcomer_that_failed_before_it_was_taken_costs_nobody_else_anything(code):
+    async with Place() as place:
+        await place.up()
+        real, tries = place.listener, []
+
+        class Failing:
+            def accept(self):
+                tries.append(1)
+                if len(tries) == 1:
+                    raise OSError(code, "gone already")
+                return real.accept()
+
+            def __getattr__(self, name):
+                return getattr(real, name)
+
+        place.node.fronts[0]._listener = Failing()
+        peer = Peer(place.port)
+        peer.send(STATUS)
+        assert b"healthy" in await peer.until(b"healthy") and len(tries) >= 2
+        assert place.clean is None  # it serves on
