A repeat counts by when it came, not when it is read, and waits for a run that is still out

Seen (probes in tests/test_repeats.py on the text before): a further try that reached the machine within its window, and lay unread past the end of it, ran a second time; so did one that came after a window shorter than the run, beside the first try's run. Cause: Table.forerunner and purge compared an entry's time with the clock at the reading, and let an entry lapse whose run had not ended. The rule counts tries that reach the process within the window, 50 ms more on sockets. Excluded: a joiner whose holder is given up (it has the run's result or a failure, held by a case), a result let go for memory (a failure, never a run; held before). Change: an entry serves whatever came by its time and the slack, and whatever comes while its run is out or in doubt; it is dropped once nothing that came in time can still lie unread (the longest that a caller waits). What is over keeps its number, a fingerprint and its result, and not the whole transaction; the table is looked through once a second, not at every wake.

--- a/nickelslip/server/table.py
+++ b/nickelslip/server/table.py
@@ -12,16 +12,46 @@
 from nickelslip.admission.interface import Outcome, Repeat
 from nickelslip.server.transactions import Finished, Transaction
 
+SLACK_MS = 50.0  # by which, by the protocol, every limit is longer on sockets: that on repeats, too
+
+PURGE_MS = 1000.0
+
+
+def _repeat(one: Transaction) -> Repeat:
+    return one.generation.repeats[one.asked.grade]
+
+
+def _fingerprint(one: Transaction) -> int:
+    """By which a true repeat is known from another transaction under its key. The process draws at its start what this
+    is reckoned with, so that nobody can have another body pass."""
+    return hash((one.asked.body, one.asked.customer))
+
 
 class Entry:
-    """A remembered transaction."""
+    """A remembered transaction: itself while it is not over, and then what is left of it."""
 
-    __slots__ = ("holder", "until", "result", "over")
+    __slots__ = ("number", "fingerprint", "referenced", "holder", "until", "unread_ms", "result")
 
-    def __init__(self, holder: Transaction, until: float) -> None:
-        self.holder, self.until = holder, until
+    def __init__(self, holder: Transaction) -> None:
+        self.number, self.fingerprint = holder.number, _fingerprint(holder)
+        self.referenced = _repeat(holder) is Repeat.REFERENCED
+        self.holder: Transaction | None = holder
+        self.until = 0.0
+        self.unread_ms = holder.generation.stall_ms  # a repeat that came in time may lie unread for so long
         self.result: bytes | None = None
-        self.over = False
+
+    def serves(self, one: Transaction, now: float) -> bool:
+        """Whether this one comes within its time. A referenced one is a repeat by when it came, and not by when it is
+        read; and as long as the first try's run is out, or in doubt."""
+        if not self.referenced:
+            return now < self.until
+        return self.holder is not None or min(one.asked.reached, now) <= self.until + SLACK_MS
+
+    def lapsed(self, now: float) -> bool:
+        """Whether nothing that may still be read can be served by it."""
+        if not self.referenced:
+            return self.until <= now
+        return self.holder is None and self.until + SLACK_MS + self.unread_ms < now
 
 
 class Table:
@@ -33,57 +63,49 @@
         self._entries: dict[tuple[str, str], Entry] = {}
         self._kept: OrderedDict[tuple[str, str], int] = OrderedDict()
         self._bytes, self._bytes_most = 0, result_bytes
+        self._purge_at = 0.0
 
     def _key(self, one: Transaction) -> tuple[str, str] | None:
         return None if one.asked.key is None else (one.asked.grade, one.asked.key)
 
-    def _replayable(self, one: Transaction) -> bool:
-        return one.generation.repeats[one.asked.grade] is Repeat.REPLAYABLE
+    def _entry(self, one: Transaction) -> Entry | None:
+        key = self._key(one)
+        return self._entries.get(key) if key else None
 
-    def forerunner(self, one: Transaction) -> Transaction | None:
+    def forerunner(self, one: Transaction) -> Entry | None:
         """The remembered transaction of which this is a repeat, or a like read whose answer still serves."""
-        key = self._key(one)
-        entry = self._entries.get(key) if key else None
-        if entry is None or key is None:
-            return None
-        if entry.until <= self._clock():
-            self._drop(key)
-            return None
-        return entry.holder
+        entry = self._entry(one)
+        return entry if entry is not None and entry.serves(one, self._clock()) else None
 
     def clashes(self, one: Transaction) -> bool:
         """Whether its idempotency key stands for another transaction: a repeat has its first try's body and customer.
         Joined, whoever has seen a key would be answered with what was never made for it."""
-        earlier = self.forerunner(one)
-        return (earlier is not None and one.generation.repeats[one.asked.grade] is Repeat.REFERENCED
-                and (earlier.asked.body, earlier.asked.customer) != (one.asked.body, one.asked.customer))
-
-    def forget(self, one: Transaction) -> None:
-        """It is proven never to have run: who comes under its key is the first."""
-        key = self._key(one)
-        if key is not None and key in self._entries and self._entries[key].holder is one:
-            self._drop(key)
+        entry = self.forerunner(one)
+        return entry is not None and entry.referenced and entry.fingerprint != _fingerprint(one)
 
     def remember(self, one: Transaction, span_ms: float) -> None:
         key = self._key(one)
         if key is None:
             return
-        if span_ms > 0:
-            referenced = one.generation.repeats[one.asked.grade] is Repeat.REFERENCED
-            if referenced or one.generation.settings.fresh_ms > 0:
-                old = self._entries.get(key)
-                if old is not None and old.holder is not one:
-                    self._drop(key)
-                entry = self._entries.setdefault(key, Entry(one, 0.0))
-                entry.until = self._clock() + span_ms
-        else:
+        if span_ms <= 0:
             self.forget(one)
+        elif _repeat(one) is Repeat.REFERENCED or one.generation.settings.fresh_ms > 0:
+            entry = self._entries.get(key)
+            if entry is None or entry.number != one.number:
+                self._drop(key)
+                entry = self._entries[key] = Entry(one)
+            entry.until = self._clock() + span_ms
+
+    def forget(self, one: Transaction) -> None:
+        """It never ran, or is not to serve others: who comes under its key is the first."""
+        entry, key = self._entry(one), self._key(one)
+        if entry is not None and key is not None and entry.number == one.number:
+            self._drop(key)
 
     def join(self, one: Transaction) -> None:
         """Let a repeat have its forerunner's result, now or when it is there."""
-        key = self._key(one)
-        entry = self._entries.get(key) if key else None
-        if entry is not None and not entry.over:
+        entry = self._entry(one)
+        if entry is not None and entry.holder is not None:
             entry.holder.joiners.append(one)
         elif entry is not None and entry.result is not None:
             one.post(Finished(Outcome.OK, 0.0, entry.result))
@@ -96,32 +118,39 @@
         joiners, one.joiners = one.joiners, []
         for each in joiners:
             each.post(Finished(Outcome.OK if outcome is Outcome.OK else Outcome.ERROR, now - each.joined_since, body))
-        key = self._key(one)
-        entry = self._entries.get(key) if key else None
-        if entry is None or key is None or entry.holder is not one or entry.over:
+        entry, key = self._entry(one), self._key(one)
+        if entry is None or key is None or entry.holder is not one:
             return
-        entry.over = True
+        entry.holder = None
         if outcome is Outcome.OK:
             entry.result = body
             self._kept[key] = len(body)
             self._bytes += len(body)
-            if self._replayable(one):
+            if not entry.referenced:
                 entry.until = min(entry.until, now + one.generation.settings.fresh_ms)
-            while self._bytes > self._bytes_most:
-                old, size = self._kept.popitem(last=False)
-                self._bytes -= size
-                if self._replayable(self._entries[old].holder):
-                    del self._entries[old]  # the next read of it simply runs
-                else:
-                    self._entries[old].result = None
-        elif self._replayable(one):
+            self._let_go()
+        elif not entry.referenced:
             self._drop(key)
 
+    def _let_go(self) -> None:
+        """Results over what this process's memory has room for, the oldest first."""
+        while self._bytes > self._bytes_most:
+            old = next(iter(self._kept))
+            if self._entries[old].referenced:
+                self._bytes -= self._kept.pop(old)
+                self._entries[old].result = None
+            else:
+                self._drop(old)  # the next read of it simply runs
+
     def _drop(self, key: tuple[str, str]) -> None:
-        del self._entries[key]
+        self._entries.pop(key, None)
         self._bytes -= self._kept.pop(key, 0)
 
     def purge(self) -> None:
+        """Drop what can serve nobody any more; a look through all of it at most once in a while."""
         now = self._clock()
-        for key in [key for key, entry in self._entries.items() if entry.until <= now]:
+        if now < self._purge_at:
+            return
+        self._purge_at = now + PURGE_MS
+        for key in [key for key, entry in self._entries.items() if entry.lapsed(now)]:
             self._drop(key)
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -1,7 +1,10 @@
 """Repeats of a transaction that runs once within its window: what is taken for one, and when."""
 
+import time
+
 import pytest
 
+from nickelslip.server import table
 from tests.helpers import A, B, C, Place, until
 
 pytestmark = pytest.mark.anyio
@@ -53,3 +56,56 @@
         assert (await caller.answer())[1] == "error" and not place.pool.told("spawn", A)
         await caller.ask(D, "read", subject="k" * 257)
         assert (await caller.answer())[1] == "error"
+
+
+# When
+
+
+def short_window(place: Place, window_ms: float) -> None:
+    place.told["classes"][2]["memory-span-ms"] = window_ms
+    place.renew()
+
+
+async def test_a_repeat_that_came_in_its_window_and_lay_unread_past_it_is_still_one(monkeypatch):
+    monkeypatch.setattr(table, "PURGE_MS", 0.0)
+    async with Place() as place:
+        short_window(place, 300.0)
+        caller = await (await place.up()).caller()
+        began = int(time.time() * 1000)
+        await place.running(caller, A, "book", opkey="k1", ts=began, timeout=200)
+        await place.pool.finish(A, body=b"once")
+        assert (await caller.answer())[1::2] == ("done", b"once")
+        await until(lambda: time.time() * 1000 > began + 600)
+        await caller.ask(B, "book", opkey="k1", resent=1, ts=began + 290)
+        assert (await caller.answer())[1::2] == ("done", b"once") and not place.pool.told("spawn", B)
+        await place.running(caller, C, "book", opkey="k1", ts=began + 500)  # and one that came after it is none
+
+
+async def test_a_repeat_after_the_window_waits_for_a_run_that_is_still_out(monkeypatch):
+    monkeypatch.setattr(table, "PURGE_MS", 0.0)
+    async with Place() as place:
+        short_window(place, 100.0)
+        caller = await (await place.up()).caller()
+        await place.running(caller, A, "book", opkey="k1", timeout=300)
+        assert (await caller.answer())[1] == "error"  # it was due, and its run goes on
+        await until(lambda: place.node.clock() > next(iter(place.node.table._entries.values())).until + 100)
+        await caller.ask(B, "book", opkey="k1", resent=1)
+        await until(lambda: len(place.node.transactions) == 2)
+        assert not place.pool.told("spawn", B)
+        await place.pool.finish(A, body=b"once")
+        assert (await caller.answer())[1::2] == ("done", b"once")
+        await until(lambda: not place.node.transactions)
+
+
+async def test_what_can_serve_no_repeat_any_more_is_let_go(monkeypatch):
+    monkeypatch.setattr(table, "PURGE_MS", 0.0)
+    async with Place() as place:
+        short_window(place, 100.0)
+        for grade in place.told["classes"]:
+            grade["aim-ms"] = grade["deadline-ms"] = 200.0
+        place.renew()
+        caller = await (await place.up()).caller()
+        await place.running(caller, A, "book", opkey="k1", timeout=200)
+        await place.pool.finish(A, body=b"once")
+        assert (await caller.answer())[1] == "done"
+        await until(lambda: not place.node.table._entries and not place.node.table._bytes)
