A run whose end cannot be read is over all the same; dials that are given up end at once

Seen, by probes in tests/test_broken_replies.py on the text before: a finished notice with a broken body, an unknown end, no time, or over a buffer's size left its transaction without an end and its slot taken (Workers._notice counted its number first, and raised after); a body with signs that are no base64 went on as a result (b64decode passes over them); a 65th happening at once was dropped without a word, an end among them; a call given up while it was dialled held its descriptor for the second that a dial may take, and twenty of them two thirds of what is kept beside callers; each report opened a socket, so that at the limit a healthy server fell off the list. Change: what such a notice tells of a run is told without its body: a run that is over is forfeited, a call that cannot be read is never made. Bodies are decoded strictly; ends always find room. Giving a call up cancels its dial; calls keep to their share of descriptors, and one too many is told to the module as turned away. Reports go out from one socket.

--- a/nickelslip/server/directory.py
+++ b/nickelslip/server/directory.py
@@ -7,15 +7,21 @@
 from __future__ import annotations
 
 import socket
+from contextlib import suppress
 from math import inf
 from typing import TYPE_CHECKING
 
 import anyio
 
+from nickelslip.configuration.config import Address
+
 if TYPE_CHECKING:  # types only: a start is spared what it does not need
     from nickelslip.server.surroundings import Reported
 
 
+def family_of(address: Address) -> socket.AddressFamily:
+    return socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+
 
 class Directory:
     """The directory, as this server reports to it."""
@@ -24,6 +30,7 @@
         self._around = around
         self._reached = True
         self._again = anyio.Event()
+        self._sock: socket.socket | None = None  # kept: where descriptors run short a report must not need one
 
     def move(self) -> None:
         """What is due may have changed. A new address alone brings no report out of turn: a new configuration comes to
@@ -37,6 +44,15 @@
 
     async def run(self) -> None:
         """Report from the moment when the worker pool is there to the end."""
+        with suppress(OSError):
+            self._socket(family_of(self._around.generation.config.directory))  # before callers come
+        try:
+            await self._run()
+        finally:
+            if self._sock is not None:
+                self._sock.close()
+
+    async def _run(self) -> None:
         while True:
             self._again = anyio.Event()
             now, coming_up = self._around.clock(), self._around.coming_up
@@ -48,14 +64,21 @@
             with anyio.move_on_after(None if wait == inf else max(0.0, wait) / 1000):
                 await self._again.wait()
 
+    def _socket(self, family: int) -> socket.socket:
+        """The one from which reports go out, to whatever address."""
+        if self._sock is None or self._sock.family != family:
+            fresh = socket.socket(family, socket.SOCK_DGRAM | socket.SOCK_NONBLOCK)
+            if self._sock is not None:
+                self._sock.close()
+            self._sock = fresh
+        return self._sock
+
     def _report(self) -> None:
         address = self._around.generation.config.directory
-        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        word = "open" if self._around.healthy else "closed"
+        report = f"PULSE {self._around.generation.config.name} {'open' if self._around.healthy else 'closed'}"
         detail = None
         try:
-            with socket.socket(family, socket.SOCK_DGRAM | socket.SOCK_NONBLOCK) as sock:
-                sock.sendto(f"PULSE {self._around.generation.config.name} {word}".encode(), address)
+            self._socket(family_of(address)).sendto(report.encode(), address)
         except OSError as error:
             detail = error.strerror
         if (detail is None) is not self._reached:
--- a/nickelslip/server/endings.py
+++ b/nickelslip/server/endings.py
@@ -46,4 +46,7 @@
     b"EMPTY": Outcome.MOOT,
 }
 CALL_GIVEN_UP = Outcome.TIMEOUT
+SPOILT_END = Outcome.ERROR  # a run that is over, and nobody can read how
+UNREADABLE_CALL = Outcome.FULL  # one that was never made, since its body cannot be read
+NO_DESCRIPTOR = Outcome.FULL  # one that was never made, since there is none left for calls
 NOT_CARRIED_OUT = Outcome.ERROR  # a start that the worker pool does not know: no run, no result
--- a/nickelslip/server/records.py
+++ b/nickelslip/server/records.py
@@ -11,9 +11,11 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+import anyio
+
 from nickelslip.admission.interface import Outcome
 from nickelslip.configuration.config import Address
-from nickelslip.server.endings import CALL_ENDS, Ended, Ending
+from nickelslip.server.endings import CALL_ENDS, NO_DESCRIPTOR, UNREADABLE_CALL, Ended, Ending
 from nickelslip.server.streams import SIZE, Stream, connect
 from nickelslip.server.transactions import Returned, Transaction
 
@@ -47,6 +49,7 @@
         self.address: Address | None = records.around.generation.config.records
         self.used = 0.0
         self._stream: Stream | None = None
+        self._dial = anyio.CancelScope()
 
     def _enter(self, state: Line) -> None:
         """The one place where it changes its state."""
@@ -57,10 +60,12 @@
         try:
             if self.address is None:
                 raise Ended(Ending.REFUSED, "no address was given")
-            self._stream = await connect(self.address, self._around.buffers, self._around.tasks, BACKLOG_MOST, HALF_MS)
-            self._records.reached(None)
-            if self.one is None:  # given up in the meantime, and never written
+            with self._dial:
+                self._stream = await connect(self.address, self._around.buffers, self._around.tasks, BACKLOG_MOST,
+                                             HALF_MS)
+            if self.one is None or self._stream is None:  # given up in the meantime, and never written
                 raise Ended(Ending.IDLE)
+            self._records.reached(None)
             self._write(self.one, self._wait_ms)
             while True:
                 await self._stream.fill()
@@ -78,8 +83,9 @@
         self._write(one, wait_ms)
 
     def _write(self, one: Transaction, wait_ms: float) -> None:
-        head = b"OP %s %d %d\r\n" % (one.asked.ident.encode(), max(1, round(wait_ms)), len(one.call.body))
-        if self._stream is not None and self._stream.write(head + one.call.body + b"\r\n"):
+        body = one.call.body or b""
+        head = b"OP %s %d %d\r\n" % (one.asked.ident.encode(), max(1, round(wait_ms)), len(body))
+        if self._stream is not None and self._stream.write(head + body + b"\r\n"):
             self._enter(Line.OUT)
 
     @property
@@ -93,6 +99,7 @@
         """The connection has ended, with what that proves of the call on it."""
         one, self.one, was = self.one, None, self.state
         self._enter(Line.OVER)
+        self._dial.cancel()  # its descriptor is wanted for a call that somebody waits for
         if self._stream is not None:
             self._stream.end_with(ended.ending)
         if one is not None:
@@ -152,21 +159,38 @@
         self.around = around
         self._carriers: dict[Transaction, Carrier] = {}
         self._idle: list[Carrier] = []
+        self._standing: set[Carrier] = set()  # all that may hold a descriptor
         self._refused = False
         self._broken = 0
 
     def call(self, one: Transaction, wait_ms: float) -> None:
         """Send the call at which this one's run stands. A transaction's second call goes on another connection than
-        its first: a second copy of the first one's reply would carry the same id."""
+        its first: a second copy of the first one's reply would carry the same id. Where its body cannot be read, or no
+        descriptor is left for calls, it is not made: the callers' own and the worker pool's link keep theirs."""
+        if one.call.body is None:
+            one.post(Returned(UNREADABLE_CALL))
+            return
         carrier = self._unused(one)
         if carrier is not None:
             self._carriers[one] = carrier
             carrier.carry(one, wait_ms)
+        elif self._full():
+            one.post(Returned(NO_DESCRIPTOR))
+            return
         else:
             carrier = self._carriers[one] = Carrier(self, one, wait_ms)
+            self._standing.add(carrier)
             self.around.tasks.start_soon(self.around.guard, carrier.serve)
         one.carriers.append(carrier)
 
+    def _full(self) -> bool:
+        """Whether no connection more may be opened; one that stands unused makes place."""
+        most = self.around.generation.shares.calls
+        if len(self._standing) >= most and self._idle:
+            self._idle.pop(0).end(Ended(Ending.IDLE))
+            return False
+        return len(self._standing) >= most
+
     def _unused(self, one: Transaction) -> Carrier | None:
         """The connection that was used last, of those that are idle and have not carried a call for this one."""
         for carrier in reversed(self._idle):
@@ -204,6 +228,7 @@
         """Its connection has ended."""
         if carrier in self._idle:
             self._idle.remove(carrier)
+        self._standing.discard(carrier)
 
     def reached(self, fault: str | None) -> None:
         """Whether a connection came about: a change of that makes a line."""
--- a/nickelslip/server/transactions.py
+++ b/nickelslip/server/transactions.py
@@ -61,7 +61,7 @@
     """Its run stands at a call."""
 
     seq: int
-    body: bytes
+    body: bytes | None  # None where it cannot be read
 
 
 class Returned(NamedTuple):
@@ -163,7 +163,8 @@
                 self.watch(self, answer.state)
 
     def post(self, happening: Happening) -> None:
-        if len(self._mail) < MAIL_MOST:
+        """Bounded, but for the two that end it and come once each: an end that was lost would keep its slot."""
+        if len(self._mail) < MAIL_MOST or isinstance(happening, Finished | Gone):
             self._mail.append(happening)
         self.nudge()
 
--- a/nickelslip/server/workers.py
+++ b/nickelslip/server/workers.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import random
+import re
 from base64 import b64decode, b64encode
 from collections import deque
 from enum import Enum
@@ -21,7 +22,7 @@
 from nickelslip.admission.interface import Gauges, Outcome, Repeat, State, Stopping
 from nickelslip.coming_up.spread import Backoff
 from nickelslip.configuration.config import Address
-from nickelslip.server.endings import NOT_CARRIED_OUT, RUN_ENDS, Ended, Ending
+from nickelslip.server.endings import NOT_CARRIED_OUT, RUN_ENDS, SPOILT_END, Ended, Ending
 from nickelslip.server.streams import SIZE, Stream, connect
 from nickelslip.server.transactions import FINAL, Blocked, Finished, Transaction
 
@@ -35,6 +36,7 @@
 GHOST_STOPS = 3  # stops without a word, each behind the answer to a question, that prove that there is no run
 BACKLOG_MOST = 1 << 20
 UNPROVEN_MOST = 4096
+PARTS_OF_NOTICE = re.compile(rb'"(op|seq|id)"\s*:\s*"?(\w+)')  # what can still be told of one that is no JSON
 GAUGES = {"cpu_busy": "busy", "runnable": "wanting", "mem_used": "memory", "sockets": "connections"}
 
 
@@ -225,7 +227,7 @@
         self._link = link
 
     async def _read(self, stream: Stream) -> None:
-        too_long = False
+        head = b""  # of a line over the size of a buffer; its rest is passed over, since asked anew it would be as long
         while True:
             await stream.fill()
             self._unheard = 0
@@ -234,41 +236,75 @@
                 if stop < 0:
                     if stream.end - stream.start < SIZE:
                         break
-                    too_long, stop = True, stream.end - 1  # passed over up to its end: asked anew it would be as long
-                    stream.take(stop + 1)
+                    head = head or bytes(stream.data[stream.start:stream.end])
+                    stream.take(stream.end)
                     continue
-                line = b"(over the size of a buffer)" if too_long else bytes(stream.data[stream.start:stop])
-                too_long = False
+                line, whole = head or bytes(stream.data[stream.start:stop]), not head
+                head = b""
                 stream.take(stop + 1)
-                if line.strip():
+                if not whole:
+                    self._unreadable(line, "over the size of a buffer")
+                elif line.strip():
                     self._notice(line)
 
+    def _unreadable(self, line: bytes, fault: str) -> None:
+        """A notice that cannot be understood as a whole: as far as it can, it still counts, and what it told of a run
+        is told without its body."""
+        self._around.log.error("notice not understood", error=fault, line=repr(line[:100]))
+        found = {name: value for name, value in PARTS_OF_NOTICE.findall(line)}
+        try:
+            if self._counts(int(found.get(b"seq", b"0"))) and b"id" in found:
+                self._run_notice(found.get(b"op", b"").decode(), found[b"id"].decode(), {})
+        except ValueError:
+            return
+
+    def _counts(self, seq: int) -> bool:
+        """Whether a notice under this number has not been read before."""
+        if seq <= self._seq:
+            return False
+        if seq > self._seq + 1:
+            self._around.log.error("notices lost", after=self._seq, before=seq)
+        self._seq = seq
+        return True
+
+    def _run_notice(self, op: str, ident: str, told: dict[str, Any]) -> None:
+        """A run has ended, or stands at a call. Where the notice is spoilt, the run that is over is over all the same,
+        with a result that nobody can have, and the call that cannot be read can't be made."""
+        one = self._around.transactions.get(int(ident, 16))
+        if one is None:
+            return
+        self._ghosts.pop(one, None)
+        body: bytes | None
+        try:
+            body = b64decode(told["body"] or "", validate=True) if "body" in told else b""
+        except (ValueError, TypeError):
+            body = None
+        if op == "finished":
+            end, took_ms = RUN_ENDS.get(str(told.get("end"))), told.get("ms")
+            if end is None or body is None or not isinstance(took_ms, int | float):
+                self._around.log.error("end of a run not understood", id=ident)
+                one.post(Finished(SPOILT_END, 0.0))
+            else:
+                one.post(Finished(end, float(took_ms), body))
+        elif op == "blocked":
+            one.post(Blocked(self._seq, body if told else None))
+
     def _notice(self, line: bytes) -> None:
         try:
             told = orjson.loads(line)
             op, ident = told["op"], told.get("id")
-            if "seq" in told:
-                if int(told["seq"]) <= self._seq:
-                    return  # read before
-                if int(told["seq"]) > self._seq + 1:
-                    self._around.log.error("notices lost", after=self._seq, before=told["seq"])
-                self._seq = int(told["seq"])
-            one = self._around.transactions.get(int(ident, 16)) if ident else None
-            if one is not None and "seq" in told:
-                self._ghosts.pop(one, None)
-            if op == "finished" and one is not None:
-                body = b64decode(told.get("body") or "")
-                one.post(Finished(RUN_ENDS[told["end"]], float(told["ms"]), body))
-            elif op == "blocked" and one is not None:
-                one.post(Blocked(self._seq, b64decode(told.get("body") or "")))
+            if "seq" in told and not self._counts(int(told["seq"])):
+                return
+            if "seq" in told and ident:
+                self._run_notice(op, ident, told)
             elif op == "polled":
                 self._polled(str(told["tag"]), told["values"])
             elif op == "bound":
                 self._bound(str(told["end"]), float(told["ms"]))
             elif op == "unknown":
-                self._unknown(str(told["end"]), one)
+                self._unknown(str(told["end"]), self._around.transactions.get(int(ident, 16)) if ident else None)
         except (ValueError, KeyError, TypeError, AttributeError) as error:
-            self._around.log.error("notice not understood", error=repr(error), line=repr(line[:100]))
+            self._unreadable(line, repr(error))
 
     def _bound(self, end: str, ago_ms: float) -> None:
         """The link stands. What was never written goes out now; what may be lost waits for the answer to a question
--- /dev/null
+++ b/tests/test_broken_replies.py
@@ -0,0 +1,150 @@
+"""What comes spoilt, twice, late or under a foreign name from the worker pool and the records: it costs its own
+transaction at most, and that one still ends once."""
+
+import os
+import socket
+from base64 import b64encode
+from contextlib import suppress
+
+import anyio
+import pytest
+
+from nickelslip.admission.interface import Outcome
+from nickelslip.server import streams, transactions
+from nickelslip.server.streams import SIZE
+from nickelslip.server.transactions import Finished, Returned
+from tests.helpers import A, B, Place, until
+
+pytestmark = pytest.mark.anyio
+CALL = b"\r\ncall\x00"
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio", {"use_uvloop": True}
+
+
+# The worker pool
+
+
+GOOD = b64encode(b"result").decode()
+
+
+@pytest.mark.parametrize("spoilt", (
+    {"end": "fine", "ms": 20.0, "body": "=" + GOOD}, {"end": "fine", "ms": 20.0, "body": GOOD[:-1] + "\\u00e9"},
+    {"end": "fine", "ms": 20.0, "body": GOOD[:4] + " " + GOOD[4:]}, {"end": "fine", "ms": 20.0, "body": 7},
+    {"end": "splendid", "ms": 20.0, "body": GOOD}, {"end": ["fine"], "ms": 20.0}, {"end": "fine", "body": GOOD},
+    {"end": "fine", "ms": "long", "body": GOOD}, {"end": "fine", "ms": 20.0, "body": GOOD * SIZE},
+))
+async def test_a_run_whose_end_cannot_be_read_is_over_all_the_same(spoilt):
+    async with Place(cpus=1) as place:
+        caller = await (await place.up()).caller()
+        await place.running(caller, A, "pay")
+        await place.pool.tell("finished", A, **spoilt)
+        assert (await caller.answer())[1::2] == ("error", b"")  # and no result that no run made
+        await until(lambda: not place.node.transactions)
+        await place.running(caller, B, "pay")  # the one slot is free
+        await place.pool.finish(B)
+        assert (await caller.answer())[1::2] == ("done", b"result") and place.pool.links == 1
+
+
+async def test_a_line_that_is_no_json_still_ends_the_run_that_it_names():
+    async with Place() as place:
+        caller = await (await place.up()).caller()
+        await place.running(caller, A, "pay")
+        place.pool.seq += 1
+        await place.pool.stream.send(b'{"op":"finished","seq":1,"id":"%b","end":"fine",\x00\n' % A.encode())
+        assert (await caller.answer())[1] == "error"
+        await until(lambda: not place.node.transactions)
+
+
+async def test_a_call_that_cannot_be_read_is_never_made_and_its_run_is_waited_for_no_longer_than_its_time():
+    async with Place() as place:
+        caller = await (await place.up()).caller()
+        await place.running(caller, A, "pay", timeout=300)
+        await place.pool.tell("blocked", A, body="!!!")
+        assert (await caller.answer())[1] == "error"
+        assert not place.records.seen and not place.pool.told("supply", A)
+
+
+async def test_a_full_mailbox_still_takes_the_end(monkeypatch):
+    monkeypatch.setattr(transactions, "MAIL_MOST", 2)
+    async with Place() as place:
+        caller = await (await place.up()).caller()
+        await place.running(caller, A, "pay")
+        (one,) = place.node.transactions.values()
+        for _ in range(5):  # all of it within one step
+            one.post(Returned(Outcome.ERROR))
+        one.post(Finished(Outcome.OK, 20.0, b"result"))
+        assert (await caller.answer())[1::2] == ("done", b"result")
+        await until(lambda: not place.node.transactions)
+
+
+# The records
+
+
+@pytest.mark.parametrize("reply", (
+    b"DONE 3\r\nabc\r\n", b"DONE 3\r\nabcdef\r\n", b"ERROR\r\n", b"WAIT\r\n", b"nonsense\r\n"))
+@pytest.mark.parametrize("order", ("before", "after"))
+async def test_a_reply_that_crosses_its_call_being_given_up(reply, order):
+    async with Place() as place:
+        caller = await (await place.up()).caller()
+        await place.calling(caller, A, "pay")
+        (one,) = place.node.transactions.values()
+        line = place.records.lines[A].extra(anyio.abc.SocketAttribute.raw_socket).fileno()
+        said = A.encode() + b" " + reply
+        if order == "before":
+            os.write(line, said)  # in the system's hands, unread here
+        place.node.records.give_up(one)
+        one.post(Returned(Outcome.TIMEOUT))
+        if order == "after":
+            with suppress(OSError):
+                os.write(line, said)
+        assert (await caller.answer())[1] == "error"  # given up, it may have run: it is not made again
+        assert len(place.records.seen) == 1 and not place.pool.told("supply", A)
+        await place.calling(caller, B, "pay")  # and nobody else is told what was its
+        await place.records.reply(B, "DONE", b"B's own")
+        await until(lambda: place.pool.told("supply", B))
+        assert place.pool.told("supply", B)[0]["body"] == b64encode(b"B's own").decode()
+
+
+async def test_a_call_that_is_given_up_while_it_is_dialled_frees_its_descriptor_at_once(monkeypatch):
+    with socket.socket() as full:  # its door is full: whoever dials it waits
+        full.bind(("127.0.0.1", 0))
+        full.listen(0)
+        knocked = [socket.socket() for _ in range(3)]
+        for each in knocked:
+            each.setblocking(False)
+            each.connect_ex(full.getsockname())
+        monkeypatch.setattr(streams, "CONNECT_S", 30.0)
+        async with Place(cpus=32, **{"memory-kb": 1e6, "dep-share": 64.0}) as place:
+            place.config["records"] = f"127.0.0.1:{full.getsockname()[1]}"
+            place.renew()
+            caller = await (await place.up()).caller()
+            idents = [f"{number:016x}" for number in range(1, 21)]
+            for ident in idents:
+                await place.running(caller, ident, "pay", timeout=400)
+                await place.pool.block(ident)
+            await until(lambda: len(place.node.records._standing) == 20)
+            for _ in idents:
+                assert (await caller.answer())[1] == "error"
+            await until(lambda: not place.node.records._standing, 0.5)
+        for each in knocked:
+            each.close()
+
+
+async def test_calls_keep_to_their_share_of_descriptors_and_one_too_many_was_never_made():
+    async with Place(cpus=32, **{"memory-kb": 1e6, "dep-share": 64.0}) as place:
+        await place.up()
+        place.share_out(calls=2)
+        caller = await place.caller()
+        for ident in (A, B):
+            await place.calling(caller, ident, "pay")
+        third = "00000000000000c3"
+        await place.running(caller, third, "pay")
+        await place.pool.block(third)
+        await until(lambda: place.node.transactions[int(third, 16)].call.seq)
+        assert not [seen for seen in place.records.seen if seen[1] == third]
+        await place.records.reply(A, "DONE", b"reply")
+        await until(lambda: ("OP", third, CALL) in place.records.seen)  # it goes out as soon as there is one
+        assert place.records.links <= 3
