Cold sums of 20 and 30 processes and restarts on busy cores measured; repeats keep their body

Change: benchmarks/cold_sums.py, part of benchmarks.cold_start; Machine and Service tell their worst excess. The emulator's balancers wrote a new body with each try of a keyed transaction; a true repeat has its first try's.

--- a/benchmarks/cold_start.py
+++ b/benchmarks/cold_start.py
@@ -23,6 +23,7 @@
 import click
 import uvloop
 
+from benchmarks.cold_sums import measured
 from benchmarks.versions import ROOT, NoHistory, copied, unpacked
 from nickelslip.emulator import checkers
 from nickelslip.emulator.callers import GradeTraffic
@@ -138,7 +139,7 @@
         await asyncio.sleep(spans.half)
         end = fleet.history.clock()
         await fleet.quiet()
-        figures = await fleet.do("figures")
+        figures = await fleet.figures()
     history = fleet.history
     usual = fleet_share(history, calm, lossy)
     before_half, during_half = (fleet_share(history, since, until) for since, until in (
@@ -259,8 +260,10 @@
 @click.option("--sizes", default="", help="Comma-separated numbers of processes; default 40, in full 50,100,200,300.")
 @click.option("--versions", default=",".join(VERSIONS), show_default=True)
 @click.option("--repeats", default=1, show_default=True)
+@click.option("--sums", default="20,30", show_default=True,
+              help="Sizes for what is sent together to something cold, and for restarts; empty: not measured.")
 @click.option("--out", type=click.Path(path_type=Path), default=None, help="Write every run's figures here, as JSON.")
-def main(quick: bool, seed: int, sizes: str, versions: str, repeats: int, out: Path | None) -> None:
+def main(quick: bool, seed: int, sizes: str, versions: str, repeats: int, sums: str, out: Path | None) -> None:
     """Every version at every size, in turn."""
     spans, wanted = QUICK if quick else FULL, versions.split(",")
     numbers = [int(each) for each in sizes.split(",")] if sizes else [40] if quick else [50, 100, 200, 300]
@@ -286,6 +289,9 @@
                     click.echo(f"{size:4} {version:7} {json.dumps(one)}")
             figures = summed(runs, bound_ms(plan_for(size, seed)))
             told |= {"processes": size, **figures} if len(numbers) == 1 else {f"at_{size}": figures}
+        if sums:
+            told |= uvloop.run(measured(lambda size: plan_for(size, seed), [int(each) for each in sums.split(",")],
+                                        quick))
         if "before" in wanted:
             medians, ratios = uvloop.run(own_start({name: cwds[name] for name in ("this", "before")},
                                                    8 if quick else 30))
--- a/nickelslip/emulator/callers.py
+++ b/nickelslip/emulator/callers.py
@@ -66,6 +66,7 @@
 
     ident: str
     grade: str
+    body: bytes
     written: float
     over: asyncio.Future[str]  # the word of its answer, or how else it ended
 
@@ -151,13 +152,14 @@
         told, begun, been = self.traffic.grades[grade], self.history.clock(), set[str]()
         self.history.add(Kind.ASKED, "", "", [grade, told.credit], begun)
         mark = f"{self._random.getrandbits(64):016x}" if told.marked else ""
+        body = BODY + b"%016x" % self._random.getrandbits(64)  # the same with every try, as the key is
         for again in range(self.habits.most_tries):
             left = told.patience_ms - (self.history.clock() - begun)
             name = self._choose(been) if left > LEAST_LEFT_MS else None
             if name is None:
                 return
             been.add(name)
-            word, ident = await self._try(name, grade, told, mark, left, again > 0)
+            word, ident = await self._try(name, grade, told, mark, body, left, again > 0)
             if word == "done":
                 in_time = self.history.clock() - begun <= told.quoted_ms
                 self.history.add(Kind.SATISFIED, name, ident, [grade, told.credit, in_time, begun, told.without_call])
@@ -165,7 +167,7 @@
             if word not in ("later", "nowhere", "crossed") and not told.replayable:
                 return  # it may have run: not asked again anywhere
 
-    async def _try(self, name: str, grade: str, told: GradeTraffic, mark: str, left: float,
+    async def _try(self, name: str, grade: str, told: GradeTraffic, mark: str, body: bytes, left: float,
                    again: bool) -> tuple[str, str]:
         """One try: how it ended, and its id; `nowhere` where no connection came about, which proves that nothing
         ran."""
@@ -180,7 +182,7 @@
         fields = (f"req={ident},ts={time.time() * 1000:.0f},via={self.number},owner={customer},timeout={left:.0f},"
                   f"need=20,level={self._random.random():.4f}" + (",resent=1" if again else "")
                   + (f",opkey={mark}" if mark else ""))
-        return await line.ask(ident, grade, fields, mark, left), ident
+        return await line.ask(ident, grade, fields, mark, body, left), ident
 
     def heard(self, name: str, word: str, fields: dict[str, str]) -> None:
         """What rides on an answer."""
@@ -227,15 +229,15 @@
         self._tag += 1
         self._transport.write(resp.message(b"STATUS", b"%d" % self._tag))
 
-    async def ask(self, ident: str, grade: str, fields: str, mark: str, left: float) -> str:
+    async def ask(self, ident: str, grade: str, fields: str, mark: str, body: bytes, left: float) -> str:
         """Write it, and wait until it is answered, given up, or has lost its connection."""
         self._tag += 1
         tag, now = self._tag, self._history.clock()
-        one = self._open[tag] = Try(ident, grade, now, asyncio.get_running_loop().create_future())
+        one = self._open[tag] = Try(ident, grade, body, now, asyncio.get_running_loop().create_future())
         if self._transport is None:
             return "nowhere"
         self._history.add(Kind.WRITTEN, self._name, ident, [grade, mark, now + left], now)
-        self._transport.write(resp.message(b"ASK", b"%d" % tag, grade.encode(), fields.encode(), BODY + ident.encode()))
+        self._transport.write(resp.message(b"ASK", b"%d" % tag, grade.encode(), fields.encode(), body))
         try:
             async with asyncio.timeout(left / 1000):
                 return await one.over
@@ -269,7 +271,7 @@
         if len(self._over) > 4 * LINE_MOST:
             del self._over[next(iter(self._over))]
         said = word.decode()
-        good = body == turned_round(BODY + one.ident.encode())
+        good = body == turned_round(one.body)
         self._history.add(Kind.ANSWERED, self._name, one.ident, [said, good])
         self._balancer.heard(self._name, said, dict(pair.split("=") for pair in fields.decode().split(",") if pair))
         if not one.over.done():
--- a/nickelslip/emulator/fleet.py
+++ b/nickelslip/emulator/fleet.py
@@ -297,6 +297,15 @@
             await self._of[server].do(what, server=server, **values)
         return result
 
+    async def figures(self) -> dict[str, float]:
+        """What only the parties can tell, of all their processes; of one figure in several the largest."""
+        if self.here is not None:
+            return self.here.figures()
+        out: dict[str, float] = {}
+        for each in await asyncio.gather(*(host.do("figures") for host in self._hosts)):
+            out |= {name: max(value, out.get(name, value)) for name, value in each.items()}
+        return out
+
     # What is done to servers
 
     async def start(self, *names: str, up_ms: float = 0.0) -> None:
--- a/nickelslip/emulator/models.py
+++ b/nickelslip/emulator/models.py
@@ -10,11 +10,17 @@
 from collections import deque
 from collections.abc import Callable, Hashable
 from dataclasses import dataclass
-from math import inf
+from math import inf, sqrt
 
+CHANCE = 2.0, 2.0  # over a budget of N so many times its root, and so much more, is put down to chance
 LOOK_MS = 50.0  # speeds that change with time are looked at anew at least so often
 
 
+def excess(figure: float, budget: float) -> float:
+    """By how much a figure is over its budget, in units of what is put down to chance: over 1 it is none."""
+    return (figure - budget) / (CHANCE[0] * sqrt(budget) + CHANCE[1])
+
+
 class Level:
     """A level over time, and its mean over the latest span."""
 
@@ -130,7 +136,7 @@
     """One worker pool's cores, in one life."""
 
     def __init__(self, kind: MachineKind, now: float) -> None:
-        self.kind, self._began, self.fell = kind, now, False
+        self.kind, self._began, self.fell, self.worst = kind, now, False, -inf  # the last: worst excess while cold
         self._jobs = Jobs(now, self._speed)
         self._crowd = Level(kind.fall_ms, now)
 
@@ -160,8 +166,11 @@
         """Those that are done by now; whether it fell over is told by `fell`."""
         done = self._jobs.finished(now)
         self._count(now)
-        survives = self.kind.cores * (1 + (self.kind.fall_multiple - 1) * self.warmth(now))
-        self.fell = self.fell or self._crowd.mean(now) > survives
+        warm, crowd = self.warmth(now), self._crowd.mean(now)
+        survives = self.kind.cores * (1 + (self.kind.fall_multiple - 1) * warm)
+        self.fell = self.fell or crowd > survives
+        if warm < 1:
+            self.worst = max(self.worst, excess(crowd, survives))
         return done
 
     def next_at(self) -> float:
@@ -204,6 +213,7 @@
         self.slowness = 1.0  # by which it is slower than usual
         self.down_until = -inf
         self.falls, self.over_ms, self.most, self.calls = 0, 0.0, 0, 0
+        self.worst = -inf  # excess of what is in hand over what it survives
         self._jobs = Jobs(now, self._speed)
         self._lingering: list[float] = []
         self._level, self._looked = Level(kind.span_ms, now), now
@@ -253,7 +263,9 @@
         return self._jobs.next_at()
 
     def _count(self, now: float) -> None:
-        if self._level.mean(now) > self.kind.survives:
+        mean = self._level.mean(now)
+        self.worst = max(self.worst, excess(mean, self.kind.survives))
+        if mean > self.kind.survives:
             self.over_ms += now - self._looked
         self._looked = now
         self.most = max(self.most, self.in_hand(now))
--- a/nickelslip/emulator/parties.py
+++ b/nickelslip/emulator/parties.py
@@ -108,6 +108,11 @@
     def up(self) -> bool:
         return not self.dead and self._history.clock() >= self._up_at
 
+    @property
+    def worst(self) -> float:
+        """The worst excess of its machine's crowd while it was cold."""
+        return self._machine.worst
+
     @property
     def linked(self) -> bool:
         """Whether a server has its link here, bound."""
--- a/nickelslip/emulator/surround.py
+++ b/nickelslip/emulator/surround.py
@@ -28,6 +28,7 @@
 MOVED = 10  # ports between the addresses of a party that moves
 OLD_STANDS_S = 1.5  # connections to an address that was left are closed after this, by the page on service
 READ_LIST_MS = 100.0
+NO_EXCESS = -1e9  # in place of an infinity, which JSON does not have
 
 
 @dataclass(frozen=True)
@@ -89,6 +90,7 @@
         self.directory: Directory | None = None
         self.records: Records | None = None
         self.balancers: list[Balancer] = []
+        self._worst = NO_EXCESS  # of cold machines that are gone
 
     async def start(self) -> None:
         """All but the worker pools, which begin with their servers."""
@@ -168,6 +170,7 @@
             listener.close()
         self._listeners[server].clear()
         if server in self.pools:
+            self._worst = max(self._worst, self.pools[server].worst)
             self.pools[server].end(why)
 
     def came_up(self, server: str, up_ms: float = 0.0) -> None:
@@ -222,8 +225,9 @@
         """What only the parties themselves can tell."""
         records = self.records.service if self.records is not None else None
         return {"lag_ms": max((each.lag_ms for each in self.balancers), default=0.0),
+                "machines_worst": max([self._worst, *(each.worst for each in self.pools.values())]),
                 **({"records_falls": records.falls, "records_over_ms": records.over_ms, "records_most": records.most,
-                    "records_calls": records.calls} if records is not None else {})}
+                    "records_calls": records.calls, "records_worst": records.worst} if records is not None else {})}
 
     async def do(self, what: str, **values: Any) -> Any:
         """One command by its name."""
