A grade that a crowd would leave nothing goes with the best until it has its part

Change: once a window, a grade of which one deviation less than 0.45 of the first tries started ranks with the best; only where further tries are marked.

--- a/nickelslip/admission/control.py
+++ b/nickelslip/admission/control.py
@@ -46,6 +46,7 @@
 AGAIN_LEAST = 0.1  # a further try's age is not told: the more of them, the likelier its quoted time is over
 SIGMAS = 1.0  # a customer is beyond its share when its starts are so many deviations above it
 SHARE_SPANS = 4.0  # over so many spans, since a small server starts few of each customer in one
+GRADE_LEAST = 0.45  # of a grade's first tries; one of which less is started goes with the best
 
 
 class Ring:
@@ -120,6 +121,8 @@
         self.run = Mean(grade.quoted_ms * GUESS, span_ms)  # time on a core
         self.ratio = Mean(1.0, span_ms)  # that time over the cost hint
         self.at_calls = Mean(grade.quoted_ms * CALL_GUESS if grade.calls else 0.0, span_ms)
+        self.first, self.begun = Ring(SHARE_SPANS * span_ms), Ring(SHARE_SPANS * span_ms)  # tries, and starts
+        self.starved = False
 
 
 class Item:
@@ -174,6 +177,7 @@
         self._window_end, self._wake_at, self._looked = now + WINDOW_MS, inf, -inf
         self._drain_at = self._kill = self._owed_next = inf  # the last: nothing is owed before
         self._said, self._result = 1.0, Result()
+        self._best = 0.0  # most credit for its work that a grade has
         self._adopt(settings)
 
     def _adopt(self, settings: Settings) -> None:
@@ -183,6 +187,7 @@
             grading = self._gradings[grade.name] = Grading(grade, self._span)
             if (old := known.get(grade.name)) is not None:
                 grading.run, grading.ratio, grading.at_calls = old.run, old.ratio, old.at_calls
+                grading.first, grading.begun = old.first, old.begun
         self._by_work, self._marks_again = settings.counted_by_work, settings.marks_again
         self._halts, self._said_as = settings.stopping is not Stopping.NEVER, settings.said
         self._advice_max, self._advice_part = settings.advice_max_ms, min(1.0, settings.callers / ADVISED)
@@ -224,6 +229,7 @@
         self._unread = max(self._unread, arrival.unread_ms / grading.quoted)
         self._reads, self._unread_ms = self._reads + 1, arrival.unread_ms
         self._again.add(now, float(arrival.again))
+        grading.first.add(now, 1.0, float(not arrival.again))
         tries, count = self._again.total(now)
         self._further = tries / count if self._marks_again else 0.0
         self._rank(item, arrival, now)
@@ -355,6 +361,8 @@
             state = State.SPENT  # rule 4: it stays on its core, or at its call, until its end is told
         if before is State.HELD:
             item.ran, item.began = item.ran or state is State.RUNNING, now
+            if state is State.RUNNING:
+                item.grading.begun.add(now, 1.0)
             if state is State.RUNNING and item.customer in self._shares:
                 self._started[""].add(now, 1.0)
                 self._started[item.customer].add(now, 1.0)
@@ -369,7 +377,8 @@
             item.inside = min(1.0, (part + SIGMAS * sqrt(part)) / max(count, 1e-9))
         worth = item.inside + self._beyond * (1 - item.inside)
         worth *= max(AGAIN_LEAST, 1 - self._further) if arrival.again else 1.0
-        density = item.grading.credit * worth / (1.0 if self._by_work else max(item.work, 1e-9))
+        density = item.grading.credit / (1.0 if self._by_work else max(item.work, 1e-9))
+        density = worth * (max(density, self._best) if item.grading.starved else density)
         item.sort = (-density, item.worth_until, item.id)
 
     def _judged(self, item: Item) -> float:
@@ -414,9 +423,21 @@
             self._weight = min(1.0, self._weight + WEIGHT_GAIN)
         self._count_turning(now)
         self._trim_idle()
+        self._find_starved(now)
         self._early, self._reads, self._unread, self._window_end = 0, 0, 0.0, now + WINDOW_MS
         self._entries = {ident: until for ident, until in self._entries.items() if until > now}
 
+    def _find_starved(self, now: float) -> None:
+        """Where credits lie far apart a crowd would leave the least of them nothing: a grade of which too few
+        first tries start goes with the best until it has its part. Acts where further tries are marked, as
+        unmarked ones would pass for first. Harm: the credit of what it displaces."""
+        self._best = 0.0
+        for each in self._gradings.values():
+            due, begun = GRADE_LEAST * each.first.total(now)[1], each.begun.total(now)[1]
+            each.starved = self._marks_again and begun + SIGMAS * sqrt(due) < due
+            work = 1.0 if self._by_work else max(each.run.at(now), 1e-9)
+            self._best = max(self._best, each.credit / work)
+
     def _trim_idle(self) -> None:
         """A full table turns callers back unseen. In a storm of further tries, where connections stay longer,
         that costs nothing; elsewhere cores idle for it. Harm: callers that pause open theirs anew."""
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -2,6 +2,8 @@
 
 from dataclasses import replace
 
+import pytest
+
 from nickelslip.admission.control import Control
 from nickelslip.admission.interface import Customer, Gauges, Outcome, Repeat, Said, State, Stopping
 from tests.helpers import BOOK, PAY, READ, World, settings
@@ -297,6 +299,22 @@
     assert world.known[3].answers == 1 and world.known[4].answers == 0
 
 
+@pytest.mark.parametrize("marks", (True, False))
+def test_a_grade_that_a_crowd_would_leave_nothing_has_its_part_where_further_tries_are_marked(marks):
+    low, high = replace(READ, calls=False, omit_share=0.0), replace(PAY, calls=False, credit=30.0)
+    world = World(settings(grades=(low, high, BOOK), marks_again=marks))
+    ran, ident = {low: 0, high: 0}, 0
+    for step in range(400):  # of one grade as much as the cores can do, and half as much of the other
+        for grade in (low, high, high):
+            ident += 1
+            world.read(ident, grade)
+        for each in world.at("core"):
+            ran[world.known[each].grade] += step >= 100
+            world.end(each)
+        world.wait(100.0)
+    assert (0.3 < ran[low] / 300 < 1.0 and ran[high] / 600 > 0.4) if marks else ran[low] / 300 < 0.2
+
+
 def test_a_drain_says_so_and_runs_nothing_that_came_past_the_grace():
     world = World()
     world.read(1, READ)
