Those whose patience ran out free their place; one failing call, or accept, ends itself alone

Seen, by probes (tests on the text before fail): connections that linger after their patience ran out stayed at the head of the list from which one is chosen to make room, where only the first eight are looked at, so that in a crowd of the silent a balancer's resting connection was ended instead; a key stayed taken by a first try that was given up before it ever ran, and its repeats failed for the rest of the window; an accept that told an unknown error, and an error in the reading of one call's reply, ended the whole server. Excluded: that answers given while their runs are still out keep a leaving server to the kill (suspected, tried, and held by a case that passes on both). Change: whoever begins to linger is noted with those that do. The module forgets an entry whose transaction was abandoned unrun, as it does for dismissed ones. Accept pauses on errors it does not know; a call's own error ends that call, as one that may have run. The parts of descriptors leave 24 for the process itself (15 counted, three links in a move and a file beside), and 12 more where changes are on.

--- a/nickelslip/admission/control.py
+++ b/nickelslip/admission/control.py
@@ -146,6 +146,7 @@
 ENDS = {Outcome.OK: State.SATISFIED, Outcome.ERROR: State.FORFEITED}
 ON_CORE = (State.RUNNING, State.OMITTED, State.SPENT)
 SORT = attrgetter("sort")
+LEFT_UNRUN = (State.DISMISSED, State.ABANDONED)  # never started, it is no forerunner to a repeat
 UNRUN = (State.HELD, State.JOINED)  # an end frees these at once; all others wait for word from the cores
 
 
@@ -351,7 +352,7 @@
             if state in FINAL:  # given up, it stays in the dependency's hands for a while
                 self._lingering.append(now + self._linger)
         del self._in[before][item.id]
-        if state is State.DISMISSED and item.grading.referenced and not item.ran and item.id in self._entries:
+        if state in LEFT_UNRUN and item.grading.referenced and not item.ran and item.id in self._entries:
             del self._entries[item.id]
             self._result.table.append(Remembrance(item.id, 0.0))
         if state in FINAL:
--- a/nickelslip/configuration/descriptors.py
+++ b/nickelslip/configuration/descriptors.py
@@ -9,9 +9,10 @@
 from math import ceil
 from typing import NamedTuple
 
-OWN = 20  # standard streams, event loop, listener, the worker pool's link and the one that follows it, the report
+OWN = 24  # standard streams, event loop, listener, links to the worker pool (three in a move), the report, a file
+CHANGES = 12  # where they are on: the control socket, its peers, the history
 CALLS_LEAST = 16  # connections for calls that may stand unused
-CALLS_PART, LINGERING_PART = 4, 8  # of what is left one in so many at most is for calls, and for those that linger
+CALLS_PART, LINGERING_PART = 5, 8  # of what is left one in so many at most is for calls, and for those that linger
 LINGERING_MOST = 16
 
 
--- a/nickelslip/configuration/generations.py
+++ b/nickelslip/configuration/generations.py
@@ -15,7 +15,7 @@
 
 from nickelslip.admission.interface import Repeat, Settings
 from nickelslip.configuration.config import Config
-from nickelslip.configuration.descriptors import Shares, shares_of
+from nickelslip.configuration.descriptors import CHANGES, Shares, shares_of
 
 RESULTS_PART = 1 / 4  # of this process's memory, for results that repeats may still ask for
 ENTRY_KB = 6.0  # an entry of the table in this process, with a result of the largest size
@@ -56,7 +56,8 @@
     @cached_property
     def shares(self) -> Shares:
         """Of this process's descriptors."""
-        return shares_of(self.config.descriptors, self.config.settings.call_share)
+        theirs = CHANGES if self.config.changes.on else 0
+        return shares_of(self.config.descriptors - theirs, self.config.settings.call_share)
 
     @cached_property
     def quoted_ms(self) -> Mapping[str, float]:
--- a/nickelslip/server/balancers.py
+++ b/nickelslip/server/balancers.py
@@ -307,6 +307,9 @@
         with anyio.move_on_after(self._host.generation.stall_ms / 1000):
             while not self.stream.all_sent and not self.stream.ending:
                 await anyio.sleep(ACCEPT_PAUSE_S)
+        if self.parted is None:
+            self.parted = self._host.clock()
+            self._front.note_parting(self)
         await self.stream.linger()
 
     def close(self) -> None:
@@ -365,9 +368,10 @@
             except OSError as error:
                 if error.errno in FAILED_BEFORE:
                     continue
-                if error.errno not in FULL:
-                    raise
-                return not (self._cut_lingering() or self._make_room())
+                if error.errno in FULL:
+                    return not (self._cut_lingering() or self._make_room())
+                self.tell_ended(Ended(Ending.REFUSED, error.strerror or ""))
+                return True
             full = len(self._connections) - len(self._parting) >= shares.balancers
             roomy = not full or self._make_room()
             connection = Connection(self, sock)
@@ -376,7 +380,7 @@
             self.host.tasks.start_soon(self.host.guard, self._serve, connection)
             if not roomy:  # whoever it is may go elsewhere at once: nothing was read
                 connection.cut_off(Ending.SHED)
-                self._note_parting(connection)
+                self.note_parting(connection)
         return False
 
     def _make_room(self) -> bool:
@@ -388,7 +392,7 @@
             idle = sorted((each for each in self._connections if each.proven and each.idle), key=lambda each: each.used)
             chosen = next((each for each in idle if each.part(Ending.SHED)), None)
         if chosen is not None:
-            self._note_parting(chosen)
+            self.note_parting(chosen)
         return chosen is not None
 
     def _cut_lingering(self) -> bool:
@@ -402,7 +406,8 @@
                 return True
         return False
 
-    def _note_parting(self, connection: Connection) -> None:
+    def note_parting(self, connection: Connection) -> None:
+        """It lingers, and its place is free for another."""
         self.silent.pop(connection, None)
         self._parting[connection] = None
 
@@ -425,7 +430,7 @@
                 if not connection.closing:
                     connection.close()
                 elif now - connection.used > idle_ms + self.host.generation.stall_ms and connection.part(Ending.IDLE):
-                    self._note_parting(connection)
+                    self.note_parting(connection)
 
     def shut_door(self) -> None:
         """Take what already stands at the door, and shut it."""
--- a/nickelslip/server/records.py
+++ b/nickelslip/server/records.py
@@ -74,6 +74,9 @@
                 self._reply(self._stream)
         except Ended as ended:
             self.end(ended)
+        except Exception as error:  # this call alone ends, and may have run
+            self._around.log.error("call failed", error=repr(error), exc_info=error)
+            self.end(Ended(Ending.FAULT, repr(error)))
         finally:
             self._records.forget(self)
 
--- a/tests/test_broken_replies.py
+++ b/tests/test_broken_replies.py
@@ -11,6 +11,7 @@
 
 from nickelslip.admission.interface import Outcome
 from nickelslip.server import streams, transactions
+from nickelslip.server.records import Carrier
 from nickelslip.server.streams import SIZE
 from nickelslip.server.transactions import Finished, Returned
 from tests.helpers import A, B, Place, until
@@ -108,6 +109,21 @@
         assert place.pool.told("supply", B)[0]["body"] == b64encode(b"B's own").decode()
 
 
+async def test_an_error_in_one_call_ends_that_call_alone(monkeypatch):
+    async with Place() as place:
+        caller = await (await place.up()).caller()
+        await place.calling(caller, A, "pay")
+        await place.calling(caller, B, "read")
+        with monkeypatch.context() as broken:
+            broken.setattr(Carrier, "_reply", lambda *values: 1 / 0)
+            await place.records.reply(A, "DONE", b"reply")
+            assert (await caller.answer())[1] == "error"  # it may have run
+        await place.records.reply(B, "DONE", b"reply")
+        await until(lambda: place.pool.told("supply", B))
+        await place.pool.finish(B)
+        assert (await caller.answer())[1] == "done" and place.clean is None
+
+
 async def test_a_call_that_is_given_up_while_it_is_dialled_frees_its_descriptor_at_once(monkeypatch):
     with socket.socket() as full:  # its door is full: whoever dials it waits
         full.bind(("127.0.0.1", 0))
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -203,7 +203,23 @@
             assert await each.to_the_end() == b""
 
 
-@pytest.mark.parametrize("code", (errno.ECONNABORTED, errno.EPROTO, errno.ENETUNREACH))
+async def test_those_whose_patience_ran_out_and_who_linger_are_not_taken_for_a_full_table(monkeypatch):
+    monkeypatch.setattr(balancers, "PATIENCE_MS", 50.0)
+    async with Place() as place:
+        await place.up()
+        place.share_out(balancers=10, lingering=10)
+        front, rests = place.node.fronts[0], await resting(place)
+        silent = [Peer(place.port) for _ in range(9)]  # more than are looked at for one that may go
+        await until(lambda: len(front._parting) == 9)  # they heard, and stay
+        asks = Peer(place.port)
+        asks.send(asking(A))
+        await until(lambda: place.pool.told("spawn", A), 1.0)
+        assert here(place, rests).parted is None  # who has asked before is not the one to go
+        await place.pool.finish(A)
+        assert b"result" in await asks.until(b"result") and all(each.sock.recv(1) == b"" for each in silent)
+
+
+@pytest.mark.parametrize("code", (errno.ECONNABORTED, errno.EPROTO, errno.ENETUNREACH, errno.EINVAL))
 async def test_a_newcomer_that_failed_before_it_was_taken_costs_nobody_else_anything(code):
     async with Place() as place:
         await place.up()
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -58,6 +58,22 @@
         assert (await caller.answer())[1] == "error"
 
 
+async def test_a_first_try_that_was_given_up_before_it_ran_leaves_its_key_free():
+    async with Place(cpus=1) as place:
+        caller = await (await place.up()).caller()
+        await place.running(caller, C, "pay")  # the one core is taken
+        await caller.ask(A, "book", opkey="k1")
+        await until(lambda: len(place.node.transactions) == 2)
+        await caller.send("NEVERMIND", "2")
+        await until(lambda: len(place.node.transactions) == 1)
+        await caller.ask(B, "book", opkey="k1", resent=1)
+        await place.pool.finish(C)
+        await until(lambda: place.pool.told("spawn", B))
+        await place.pool.finish(B, body=b"once")
+        assert not place.pool.told("spawn", A)
+        assert sorted([(await caller.answer())[1::2] for _ in range(2)]) == [("done", b"once"), ("done", b"result")]
+
+
 # When
 
 
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -199,6 +199,19 @@
         assert words == ["done"] * 31 + ["closing"]
 
 
+async def test_runs_that_nothing_ends_do_not_keep_the_server_to_the_kill_once_all_is_answered():
+    async with Place(**{"stop-mode": "silent"}) as place:
+        caller = await (await place.up()).caller()
+        await place.running(caller, A)
+        await place.running(caller, B, "pay")
+        began = time.monotonic()
+        place.node.leave()
+        assert [(await caller.answer())[1] for _ in range(3)] == ["error", "error", "closing"]
+        await caller.stream.aclose()
+        await until(lambda: place.clean is True)
+        assert time.monotonic() - began < 0.7
+
+
 # Notices
 
 
