A single-use start in doubt is asked after once it is over, where runs cannot be stopped

Seen: on deployments where runs cannot be stopped, a start lost with the worker pool's link kept its slot and its transaction for good (Workers.stop, which proves that there is no run, acts only where stopping is allowed); found while walking the endings, forced in tests/test_links.py. Excluded: that a lost reply does the same (the worker pool ends a run that stands at a call once its transaction is over).

--- a/nickelslip/server/workers.py
+++ b/nickelslip/server/workers.py
@@ -105,6 +105,13 @@
                 return
         self._tell(Command("suspend", one, {}))
 
+    def _ask_after_ghosts(self) -> None:
+        """Where runs cannot be stopped: a start that may have been lost is told again once its transaction is over. By
+        the protocol nothing is then started: either it runs already, or the worker pool says that it is too late."""
+        for one in [one for one in self._ghosts if (one.answered or one.gone) and not one.heard]:
+            del self._ghosts[one]
+            self.start(one)
+
     def supply(self, one: Transaction, body: bytes) -> None:
         one.heard = False
         self._tell(Command("supply", one, {"body": b64encode(body).decode()}))
@@ -363,6 +370,8 @@
                 pass  # what was written before the question got there before it
         if tag == self._fence:
             self._caught_up()
+        if not self._fence and not self._halts and self.up:
+            self._ask_after_ghosts()
         if self._link is Link.MOVING and not self._unproven:
             self._proven.set()
         names = self._around.generation.config.gauges
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -43,6 +43,24 @@
         assert place.pool.binds()[1]["seq"] == 0 and len(place.pool.told("spawn", A)) == 1
 
 
+@pytest.mark.parametrize("was", ("lost", "running"))
+async def test_a_single_use_start_in_doubt_is_asked_after_once_it_is_over_where_runs_cannot_be_stopped(was):
+    async with Place(cpus=1, **{"stop-mode": "silent"}) as place:
+        caller = await (await place.up()).caller()
+        place.pool.measures = False
+        await place.running(caller, A, "pay", timeout=200)
+        place.pool.measures = True
+        await place.pool.cut()
+        await until(lambda: place.node.workers.up)
+        assert len(place.pool.told("spawn", A)) == 1  # it may run: not told again while its answer is owed
+        assert (await caller.answer())[1] == "error"
+        await until(lambda: len(place.pool.told("spawn", A)) == 2)
+        await place.pool.finish(A, end="late" if was == "lost" else "fine")
+        await until(lambda: not place.node.transactions)
+        await place.running(caller, B, "pay")  # the one slot is free
+        assert len(place.pool.told("spawn", A)) == 2
+
+
 async def test_a_link_that_dies_while_it_is_being_replaced_loses_and_doubles_nothing():
     async with Place(cpus=4) as place:
         caller = await (await place.up()).caller()
