--- a/nickelslip/configuration/schema.py
+++ b/nickelslip/configuration/schema.py
@@ -169,7 +169,7 @@
 
 
 def word_at(path: tuple[str, ...]) -> Word | None:
-    """The word of a path such as ("machine", "cores") or ("grades", "payout", "credit")."""
+    """The word of a path such as ("machine", "cores") or ("grades", "refund", "credit")."""
     if len(path) == 2 and path[0] in SECTIONS:
         words, name = SECTIONS[path[0]], path[1]
     elif len(path) == 3 and path[0] in NAMED:
