--- a/nickelslip/server/balancers.py
+++ b/nickelslip/server/balancers.py
@@ -38,7 +38,9 @@
 TAG_DIGITS = 18
 SPAN_MOST_MS = 86_400_000.0
 BACKLOG_MOST = 64 * 1024  # unread answers over which no more is read from a connection
-PATIENCE_MS = 2000.0  # from a connection's start to its first message, and from a message's begin to its end
+FIRST_BYTE_MS = 2000.0  # from a connection's start to the first byte of its first message
+SLOW_MESSAGE_MS = 2000.0  # from a message's first byte on: one that takes longer is written slowly
+SLOW_WRITERS_PART = 4  # of the places, and of the buffers, one in so many at most is for messages written slowly
 AHEAD_MS = 1000.0  # by which a caller's clock may be before this one's
 FAULTS_MOST = 64  # in a row: more come from something that will not learn
 BACKLOG = 1024  # connections that the system keeps for this server
@@ -152,7 +154,8 @@
         self.stream = Stream(sock, front.host.buffers, front.host.tasks, front.host.generation.stall_ms,
                              BACKLOG_MOST)
         self._open: dict[int, Transaction] = {}
-        self.began = self.used = self._since = front.host.clock()
+        self.began = self.used = front.host.clock()
+        self._message_began: float | None = None  # when the first byte was read of one that is not whole yet
         self.proven = False  # something that could be understood came on it
         self._faults = 0
         self.closing = False
@@ -165,7 +168,7 @@
         try:
             while True:
                 await self.stream.room()
-                await self.stream.fill(self._patience())
+                await self._fill()
                 self._read()
                 if self._faults > FAULTS_MOST:
                     raise Ended(Ending.GARBLED, "nothing but faults")
@@ -188,15 +191,27 @@
         self.proven = True
         self._front.silent.pop(self, None)
 
-    def _patience(self) -> float:
-        """How long the other side may take over what it has begun: to say a first thing, or to end a message."""
-        if self.proven and self.stream.data is None:
-            return inf
-        return self._since + PATIENCE_MS - self._host.clock()
+    async def _fill(self) -> None:
+        """Wait until more was read, or until a message is found to be written slowly and may go on."""
+        try:
+            await self.stream.fill(self._time_left())
+        except Ended as ended:
+            if ended.ending is not Ending.STALLED or not self._front.admit_slow_writer(self):
+                raise
+
+    def _time_left(self) -> float:
+        """How long the other side may take over its first byte, or over the rest of a message that it has begun."""
+        now = self._host.clock()
+        if self._message_began is not None:
+            slow = self in self._front.slow_writers
+            return self._message_began + (self._host.generation.stall_ms if slow else SLOW_MESSAGE_MS) - now
+        return inf if self.proven else self.used + FIRST_BYTE_MS - now
 
     def _read(self) -> None:
         stream = self.stream
         while stream.data is not None:
+            if self._message_began is None:
+                self._message_began = self._host.clock()
             try:
                 whole = resp.parse(stream.data, stream.start, stream.end)
             except resp.Garbled as garbled:
@@ -206,7 +221,8 @@
                 return
             parts, upto = whole
             stream.take(upto)
-            self.used = self._since = self._host.clock()
+            self.used, self._message_began = self._host.clock(), None
+            self._front.slow_writers.discard(self)
             self._message(parts)
 
     def _refuse(self, parts: list[bytes]) -> None:
@@ -327,6 +343,7 @@
         self._connections: set[Connection] = set()
         self.silent: dict[Connection, None] = {}  # those of them that have proven nothing yet, the oldest first
         self._parting: dict[Connection, None] = {}  # those that linger, the first to do so first
+        self.slow_writers: set[Connection] = set()  # those whose message may take as long as any caller waits
         self._bad = 0
         self._endings: Counter[Ending] = Counter()
 
@@ -383,6 +400,16 @@
                 self.note_parting(connection)
         return False
 
+    def admit_slow_writer(self, connection: Connection) -> bool:
+        """Whether its message, which is not whole after SLOW_MESSAGE_MS, may take as long as any caller waits. Its
+        sender may be slow and mean well. Only a part of the places and buffers is given to such messages, so that
+        those who never end theirs take nobody else's."""
+        most = min(self.host.generation.shares.balancers, self.host.buffers.most) // SLOW_WRITERS_PART
+        if connection in self.slow_writers or len(self.slow_writers) >= max(1, most):
+            return False
+        self.slow_writers.add(connection)
+        return True
+
     def _make_room(self) -> bool:
         """Begin to end one connection on which nothing is owed: the one that has said nothing for the longest time if
         there are any that never said anything, else the one unused for the longest. Those who connect and say nothing
@@ -413,6 +440,7 @@
 
     def _forget(self, connection: Connection) -> None:
         self._connections.discard(connection)
+        self.slow_writers.discard(connection)
         self._parting.pop(connection, None)
         self.silent.pop(connection, None)
 
--- a/nickelslip/server/control_socket.py
+++ b/nickelslip/server/control_socket.py
@@ -114,16 +114,17 @@
 
     async def _talk(self, stream: Stream) -> None:
         stream.write(hello(self._around.generation.config.name))
-        frames, begun = Frames(), time.monotonic()
+        frames, began = Frames(), time.monotonic()  # the message under way, or the pause between two
         while True:
-            left = begun + (HALF_S if frames.half else IDLE_S) - time.monotonic()
+            left = began + (HALF_S if frames.half else IDLE_S) - time.monotonic()
             await stream.fill(left * 1000)
             if stream.data is None:
                 continue
+            was_half = frames.half
             messages = frames.feed(bytes(stream.data[stream.start:stream.end]))
             stream.take(stream.end)
-            if messages:
-                begun = time.monotonic()
+            if messages or not was_half:
+                began = time.monotonic()
             for message in messages:
                 stream.write(framed(await self._reply(message)))
                 await stream.room()
--- a/nickelslip/server/streams.py
+++ b/nickelslip/server/streams.py
@@ -31,7 +31,7 @@
 
     def __init__(self, most: int) -> None:
         self._free: list[bytearray] = []
-        self._left = most
+        self.most = self._left = most
         self._kept = most // KEPT_PART
 
     def take(self, own: bool) -> bytearray:
--- a/tests/test_changing.py
+++ b/tests/test_changing.py
@@ -353,6 +353,45 @@
 # The control socket
 
 
+class ShiftedTime:
+    """The time module as the control socket sees it, with a monotonic clock that a test moves forward."""
+
+    def __init__(self) -> None:
+        self.ahead_s = 0.0
+
+    def monotonic(self) -> float:
+        return time.monotonic() + self.ahead_s
+
+
+async def test_a_message_in_pieces_from_a_peer_that_rested_is_answered(tmp_path, monkeypatch):
+    shifted, pieces = ShiftedTime(), []
+
+    class Watched(Frames):
+        def feed(self, data):
+            pieces.append(data)
+            return super().feed(data)
+
+    monkeypatch.setattr(control_socket, "time", shifted)
+    monkeypatch.setattr(control_socket, "Frames", Watched)
+    path = str(tmp_path / "control")
+    async with Place(rules=replace(RULES, socket=path)) as place:
+        await place.up()
+        await until(lambda: os.path.exists(path))
+        message = framed({"protocol": 1, "id": 1, "do": "status"})
+        async with await anyio.connect_unix(path) as stream:
+            frames, told = Frames(), []
+            with anyio.fail_after(2):
+                while not told:  # the greeting
+                    told += frames.feed(await stream.receive())
+                shifted.ahead_s += control_socket.HALF_S + 1.0
+                for at in range(len(message)):
+                    await stream.send(message[at:at + 1])
+                    await until(lambda at=at: len(pieces) == at + 1)  # each is read before the next one is sent
+                while len(told) < 2:
+                    told += frames.feed(await stream.receive())
+        assert told[1]["ok"]
+
+
 async def test_peers_that_send_half_or_nonsense_or_too_many_hold_up_nobody(tmp_path, monkeypatch):
     monkeypatch.setattr(control_socket, "HALF_S", 0.3)
     path = str(tmp_path / "control")
