--- a/nickelslip/server/balancers.py
+++ b/nickelslip/server/balancers.py
@@ -8,12 +8,10 @@
 from __future__ import annotations
 
 import errno
-import math
 import socket
 import struct
 from array import array
 from collections import Counter
-from collections.abc import Mapping
 from contextlib import suppress
 from itertools import islice
 from math import inf
@@ -21,27 +19,22 @@
 
 import anyio
 
-from nickelslip.admission.interface import Repeat, State
+from nickelslip.admission.interface import State
 from nickelslip.server import resp
 from nickelslip.configuration.config import Address
 from nickelslip.server.endings import Ended, Ending
+from nickelslip.server.messages import BadField, asked_from, tag_in
 from nickelslip.server.streams import Stream
-from nickelslip.server.transactions import Answer, Asked, Gone, Transaction
+from nickelslip.server.transactions import Answer, Gone, Transaction
 
 if TYPE_CHECKING:  # types only: a start is spared what it does not need
     from nickelslip.server.surroundings import Host
 
 OPEN_MOST = 32  # transactions on one connection
-BODY_MOST = 2 * 1024
-KB_MOST = 2000.0
-KEY_MOST = 256
-TAG_DIGITS = 18
-SPAN_MOST_MS = 86_400_000.0
 BACKLOG_MOST = 64 * 1024  # unread answers over which no more is read from a connection
 FIRST_BYTE_MS = 2000.0  # from a connection's start to the first byte of its first message
 SLOW_MESSAGE_MS = 2000.0  # from a message's first byte on: one that takes longer is written slowly
 SLOW_WRITERS_PART = 4  # of the places, and of the buffers, one in so many at most is for messages written slowly
-AHEAD_MS = 1000.0  # by which a caller's clock may be before this one's
 FAULTS_MOST = 64  # in a row: more come from something that will not learn
 BACKLOG = 1024  # connections that the system keeps for this server
 ACCEPTS_MOST = 32  # of them at once
@@ -79,73 +72,6 @@
         listener.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, struct.pack("@HP", 1, drop_all.buffer_info()[0]))
 
 
-class BadField(Exception):
-    """A field that is missing, doubled or out of range."""
-
-
-def figure(fields: dict[str, str], name: str, least: float, most: float) -> float | None:
-    """A number over the least and up to the most, or None where it is absent."""
-    text = fields.get(name)
-    if text is None:
-        return None
-    try:
-        value = float(text)
-    except ValueError:
-        raise BadField(name) from None
-    if not math.isfinite(value) or not least < value <= most or "_" in text:
-        raise BadField(name)
-    return value
-
-
-def tag_in(parts: list[bytes]) -> int:
-    """The tag of a message, or 0 where it has none that could be answered."""
-    digits = parts[1] if len(parts) > 1 else b""
-    return int(digits) if digits.isdigit() and len(digits) <= TAG_DIGITS else 0
-
-
-def asked_from(parts: list[bytes], repeats: Mapping[str, Repeat], customers: frozenset[str], now: float,
-               past_ms: float) -> Asked:
-    """The transaction in an ASK behind its tag: grade, fields and body. One that claims to have come longer ago than
-    any caller waits, or to be yet to come, is none: its time unread would be taken for this server's slowness."""
-    if not 2 <= len(parts) <= 3:
-        raise BadField("parts")
-    try:
-        grade, text = parts[0].decode(), parts[1].decode()
-    except UnicodeDecodeError:
-        raise BadField("text") from None
-    body = parts[2] if len(parts) == 3 else b""
-    fields: dict[str, str] = {}
-    for pair in text.split(","):
-        name, is_pair, value = pair.partition("=")
-        if not is_pair or not value or name in fields:
-            raise BadField(name)
-        fields[name] = value
-    ident = fields.get("req", "")
-    if len(ident) != 16 or any(digit not in "0123456789abcdefABCDEF" for digit in ident):
-        raise BadField("req")
-    if grade not in repeats or len(body) > BODY_MOST:
-        raise BadField("grade or body")
-    customer = fields.get("owner")
-    if customers and customer not in customers:
-        raise BadField("owner")
-    reached, kb = figure(fields, "ts", 0.0, 1e15), figure(fields, "need", 0.0, KB_MOST)
-    if reached is None or not -past_ms <= reached - now <= AHEAD_MS:
-        raise BadField("ts")
-    if kb is None or kb == KB_MOST or fields.get("resent", "1") not in ("0", "1"):
-        raise BadField("need or resent")
-    level, via = figure(fields, "level", -1e-9, 1.0), fields.get("via", "")
-    if level == 1.0 or not via.isascii() or not via.isdigit() or len(via) > TAG_DIGITS:
-        raise BadField("level or via")
-    referenced = repeats[grade] is Repeat.REFERENCED
-    key = fields.get("opkey" if referenced else "subject")
-    if key is not None and len(key) > KEY_MOST:
-        raise BadField("opkey or subject")
-    return Asked(
-        ident=ident, grade=grade, body=body, reached=reached, kb=kb, customer=customer,
-        wait_ms=figure(fields, "timeout", 0.0, SPAN_MOST_MS), cost_hint_ms=figure(fields, "ms", 0.0, SPAN_MOST_MS),
-        again=fields.get("resent") == "1", caller=int(via), key=key)
-
-
 class Connection:
     """One balancer's connection, or that of somebody who is none."""
 
--- /dev/null
+++ b/nickelslip/server/messages.py
@@ -0,0 +1,181 @@
+"""Messages of balancers: the tag of any message, and the transaction that an ASK describes.
+
+Owns the fields of an ASK, the range of each and the fault that is reported for it. Framing is `resp`'s, the connection
+that a message came on `connection`'s. It does no I/O and keeps nothing.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from nickelslip.admission.interface import Repeat
+from nickelslip.server.transactions import Asked
+
+BODY_MOST = 2 * 1024
+KB_MOST = 2000.0
+KEY_MOST = 256
+TAG_DIGITS = 18
+IDENT_DIGITS = 16
+HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
+TIMESTAMP_MOST_MS = 1e15
+SPAN_MOST_MS = 86_400_000.0
+AHEAD_MS = 1000.0  # by which a caller's clock may be before this one's
+LEVEL_OVER = -1e-9  # just under 0, as a range excludes its lower end and a level of 0 is allowed
+
+
+class BadField(Exception):
+    """A field that is missing, doubled or out of range."""
+
+
+class Head(NamedTuple):
+    """The parts of an ASK behind its tag."""
+
+    grade: str
+    field_list: str
+    body: bytes
+
+
+class Identity(NamedTuple):
+    """Which transaction it is, and whose."""
+
+    ident: str
+    customer: str | None
+
+
+class TimeLimits(NamedTuple):
+    """How long its caller waits, and how long its run is expected to take."""
+
+    wait_ms: float | None
+    cost_hint_ms: float | None
+
+
+def tag_in(parts: list[bytes]) -> int:
+    """The tag of a message, or 0 where it has none that could be answered."""
+    digits = parts[1] if len(parts) > 1 else b""
+    return int(digits) if digits.isdigit() and len(digits) <= TAG_DIGITS else 0
+
+
+def figure(fields: Mapping[str, str], name: str, least: float, most: float) -> float | None:
+    """A number over the least and up to the most, or None where it is absent."""
+    text = fields.get(name)
+    if text is None:
+        return None
+    try:
+        value = float(text)
+    except ValueError:
+        raise BadField(name) from None
+    if not math.isfinite(value) or not least < value <= most or "_" in text:
+        raise BadField(name)
+    return value
+
+
+def asked_from(parts: list[bytes], repeats: Mapping[str, Repeat], customers: frozenset[str], now: float,
+               past_ms: float) -> Asked:
+    """The transaction in an ASK behind its tag: grade, fields and body.
+
+    Raises BadField. Where several fields are wrong, the order of the steps decides which one is named: the arrival
+    time and the memory are both read as numbers before either is checked further.
+    """
+    head = _head(parts)
+    fields = _fields(head.field_list)
+    identity = _identity(head, fields, repeats, customers)
+    timestamp = figure(fields, "ts", 0.0, TIMESTAMP_MOST_MS)
+    need = figure(fields, "need", 0.0, KB_MOST)
+    reached = _arrival_time(timestamp, now, past_ms)
+    kb = _memory(need)
+    again = _is_repeat(fields)
+    _check_level(fields)
+    caller = _caller(fields)
+    key = _key(fields, repeats[head.grade])
+    limits = _time_limits(fields)
+    return Asked(
+        ident=identity.ident, grade=head.grade, body=head.body, reached=reached, kb=kb, customer=identity.customer,
+        wait_ms=limits.wait_ms, cost_hint_ms=limits.cost_hint_ms, again=again, caller=caller, key=key)
+
+
+def _head(parts: list[bytes]) -> Head:
+    """The grade and the fields as text, and the body, which may be absent."""
+    if not 2 <= len(parts) <= 3:
+        raise BadField("parts")
+    try:
+        grade, field_list = parts[0].decode(), parts[1].decode()
+    except UnicodeDecodeError:
+        raise BadField("text") from None
+    return Head(grade, field_list, parts[2] if len(parts) == 3 else b"")
+
+
+def _fields(field_list: str) -> dict[str, str]:
+    """The fields by their names, from `name=value` pairs parted by commas."""
+    fields: dict[str, str] = {}
+    for pair in field_list.split(","):
+        name, is_pair, value = pair.partition("=")
+        if not is_pair or not value or name in fields:
+            raise BadField(name)
+        fields[name] = value
+    return fields
+
+
+def _identity(head: Head, fields: Mapping[str, str], repeats: Mapping[str, Repeat],
+              customers: frozenset[str]) -> Identity:
+    """Its identifier and its customer; the grade must be known, and the body within its size."""
+    ident = fields.get("req", "")
+    if len(ident) != IDENT_DIGITS or not HEX_DIGITS.issuperset(ident):
+        raise BadField("req")
+    if head.grade not in repeats or len(head.body) > BODY_MOST:
+        raise BadField("grade or body")
+    customer = fields.get("owner")
+    if customers and customer not in customers:
+        raise BadField("owner")
+    return Identity(ident, customer)
+
+
+def _arrival_time(timestamp: float | None, now: float, past_ms: float) -> float:
+    """When it came to the machine. One that claims to have come longer ago than any caller waits, or to be yet to come,
+    is refused: its time unread would be taken for this server's slowness."""
+    if timestamp is None or not -past_ms <= timestamp - now <= AHEAD_MS:
+        raise BadField("ts")
+    return timestamp
+
+
+def _memory(need: float | None) -> float:
+    """The memory it needs, in KB, under the most."""
+    if need is None or need == KB_MOST:
+        raise BadField("need or resent")
+    return need
+
+
+def _is_repeat(fields: Mapping[str, str]) -> bool:
+    """Whether its caller has sent it before."""
+    resent = fields.get("resent")
+    if resent not in (None, "0", "1"):
+        raise BadField("need or resent")
+    return resent == "1"
+
+
+def _check_level(fields: Mapping[str, str]) -> None:
+    """The level may be absent; it is checked and not used."""
+    if figure(fields, "level", LEVEL_OVER, 1.0) == 1.0:
+        raise BadField("level or via")
+
+
+def _caller(fields: Mapping[str, str]) -> int:
+    """The number of the balancer that sent it."""
+    via = fields.get("via", "")
+    if not via.isascii() or not via.isdigit() or len(via) > TAG_DIGITS:
+        raise BadField("level or via")
+    return int(via)
+
+
+def _key(fields: Mapping[str, str], repeat: Repeat) -> str | None:
+    """The idempotency key of a referenced transaction, or the subject of any other."""
+    key = fields.get("opkey" if repeat is Repeat.REFERENCED else "subject")
+    if key is not None and len(key) > KEY_MOST:
+        raise BadField("opkey or subject")
+    return key
+
+
+def _time_limits(fields: Mapping[str, str]) -> TimeLimits:
+    """The two spans that its caller may name."""
+    return TimeLimits(figure(fields, "timeout", 0.0, SPAN_MOST_MS), figure(fields, "ms", 0.0, SPAN_MOST_MS))
