--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -7,8 +7,8 @@
 import anyio
 import pytest
 
-from nickelslip.server import balancers, resp
-from nickelslip.server.balancers import Connection
+from nickelslip.server import connection, resp
+from nickelslip.server.connection import Connection
 from nickelslip.server.endings import Ended, Ending
 from nickelslip.server.streams import Stream
 from tests.helpers import A, B, Failing, Peer, Place, asking, until
@@ -105,7 +105,7 @@
 
 @pytest.mark.parametrize("order", ("before", "after"))
 async def test_a_first_transaction_that_crosses_the_end_of_patience_is_answered_or_ends_plainly(order, monkeypatch):
-    monkeypatch.setattr(balancers, "FIRST_BYTE_MS", 100.0)
+    monkeypatch.setattr(connection, "FIRST_BYTE_MS", 100.0)
     peers = []
     fill = Stream.fill
 
@@ -205,7 +205,7 @@
 
 
 async def test_those_whose_patience_ran_out_and_who_linger_are_not_taken_for_a_full_table(monkeypatch):
-    monkeypatch.setattr(balancers, "FIRST_BYTE_MS", 50.0)
+    monkeypatch.setattr(connection, "FIRST_BYTE_MS", 50.0)
     async with Place() as place:
         await place.up()
         place.share_out(balancers=10, lingering=10)
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -18,7 +18,7 @@
 import pytest
 
 from nickelslip.admission.control import Control
-from nickelslip.server import balancers, resp, workers
+from nickelslip.server import connection, resp, workers
 from nickelslip.server.endings import Ending
 from nickelslip.server.node import Phase
 from nickelslip.server.streams import SIZE
@@ -288,8 +288,8 @@
 
 @pytest.mark.parametrize("begun", (b"", b"*2\r\n$6\r\nSTA", resp.message(b"STATUS", b"1") + b"*2\r\n"))
 async def test_a_first_message_and_the_rest_of_one_are_waited_for_only_so_long(begun, monkeypatch):
-    monkeypatch.setattr(balancers, "FIRST_BYTE_MS", 150.0)
-    monkeypatch.setattr(balancers, "SLOW_MESSAGE_MS", 75.0)
+    monkeypatch.setattr(connection, "FIRST_BYTE_MS", 150.0)
+    monkeypatch.setattr(connection, "SLOW_MESSAGE_MS", 75.0)
     async with Place() as place:
         await place.up()
         vars(place.node.generation)["stall_ms"] = 150.0  # the longest that any caller waits
@@ -310,7 +310,7 @@
 
 
 async def test_what_came_while_the_server_stood_still_is_not_late(monkeypatch):
-    monkeypatch.setattr(balancers, "FIRST_BYTE_MS", 0.0)
+    monkeypatch.setattr(connection, "FIRST_BYTE_MS", 0.0)
     async with Place() as place:
         await place.up()
         with socket.create_connection(("127.0.0.1", place.port)) as there:
@@ -339,9 +339,9 @@
 async def test_nothing_but_faults_ends_the_connection():
     async with Place() as place:
         caller = await (await place.up()).caller()
-        for _ in range(balancers.FAULTS_MOST + 1):
+        for _ in range(connection.FAULTS_MOST + 1):
             await caller.ask("bad")
-        for tag in range(1, balancers.FAULTS_MOST + 2):
+        for tag in range(1, connection.FAULTS_MOST + 2):
             assert (await caller.answer())[:2] == (tag, "error")
         assert await caller.ended()
 
@@ -868,7 +868,7 @@
         caller, other = await place.caller(), await place.caller()
         await place.running(caller, A)
         await place.running(other, B)
-        monkeypatch.setattr(balancers, "asked_from", lambda *values: 1 / 0)
+        monkeypatch.setattr(connection, "asked_from", lambda *values: 1 / 0)
         await caller.ask(C)
         assert (await caller.answer())[:2] == (2, "error")
         for ident, each in ((A, caller), (B, other)):
--- a/tests/test_slow_messages.py
+++ b/tests/test_slow_messages.py
@@ -9,8 +9,8 @@
 import anyio
 import pytest
 
-from nickelslip.server import balancers, resp
-from nickelslip.server.balancers import SLOW_MESSAGE_MS, Connection
+from nickelslip.server import connection, resp
+from nickelslip.server.connection import SLOW_MESSAGE_MS, Connection
 from tests.helpers import A, B, Peer, Place, asking, until
 
 pytestmark = pytest.mark.anyio
@@ -121,7 +121,7 @@
 
 
 async def test_one_that_stands_still_half_way_is_ended_by_the_longest_that_callers_wait(monkeypatch):
-    monkeypatch.setattr(balancers, "SLOW_MESSAGE_MS", 50.0)
+    monkeypatch.setattr(connection, "SLOW_MESSAGE_MS", 50.0)
     async with Place(cpus=32) as place:
         await place.up()
         vars(place.node.generation)["stall_ms"] = 400.0
@@ -139,7 +139,7 @@
 
 
 async def test_slow_messages_take_a_part_of_the_places_and_no_more(monkeypatch):
-    monkeypatch.setattr(balancers, "SLOW_MESSAGE_MS", 50.0)
+    monkeypatch.setattr(connection, "SLOW_MESSAGE_MS", 50.0)
     async with Place(cpus=32) as place:
         await place.up()
         place.share_out(balancers=8)
@@ -163,7 +163,7 @@
 
 
 async def test_a_connection_that_ends_half_way_is_no_slow_writer_any_more(monkeypatch):
-    monkeypatch.setattr(balancers, "SLOW_MESSAGE_MS", 50.0)
+    monkeypatch.setattr(connection, "SLOW_MESSAGE_MS", 50.0)
     async with Place() as place:
         await place.up()
         front, peer = place.node.fronts[0], await resting(place)
