--- a/nickelslip/server/balancers.py
+++ b/nickelslip/server/balancers.py
@@ -1,68 +1,53 @@
-"""The front for balancers: listener, connections and what is spoken on them.
+"""The front for balancers: the listener and the table of connections.
 
-Owns the listening socket, every balancer's connection with the transactions open on it, and the words of the
-protocol. Each transaction that was read lives in a task of its own and is answered here on the connection it came
-on. It must never decide what becomes of one, and nothing on one connection may hold up another.
+Owns the listening socket, and which connections there are: which are accepted, which one makes room for another, and
+how all of them end when the server leaves. What is said on one connection is `connection`'s. It must never decide what
+becomes of a transaction.
 """
 
 from __future__ import annotations
 
 import errno
-import math
 import socket
 import struct
 from array import array
 from collections import Counter
-from collections.abc import Mapping
 from contextlib import suppress
 from itertools import islice
-from math import inf
 from typing import TYPE_CHECKING
 
 import anyio
 
-from nickelslip.admission.interface import Repeat, State
-from nickelslip.server import resp
 from nickelslip.configuration.config import Address
+from nickelslip.server.connection import Connection
 from nickelslip.server.endings import Ended, Ending
-from nickelslip.server.streams import Stream
-from nickelslip.server.transactions import Answer, Asked, Gone, Transaction
 
 if TYPE_CHECKING:  # types only: a start is spared what it does not need
     from nickelslip.server.surroundings import Host
 
-OPEN_MOST = 32  # transactions on one connection
-BODY_MOST = 2 * 1024
-KB_MOST = 2000.0
-KEY_MOST = 256
-TAG_DIGITS = 18
-SPAN_MOST_MS = 86_400_000.0
-BACKLOG_MOST = 64 * 1024  # unread answers over which no more is read from a connection
-FIRST_BYTE_MS = 2000.0  # from a connection's start to the first byte of its first message
-SLOW_MESSAGE_MS = 2000.0  # from a message's first byte on: one that takes longer is written slowly
-SLOW_WRITERS_PART = 4  # of the places, and of the buffers, one in so many at most is for messages written slowly
-AHEAD_MS = 1000.0  # by which a caller's clock may be before this one's
-FAULTS_MOST = 64  # in a row: more come from something that will not learn
-BACKLOG = 1024  # connections that the system keeps for this server
-ACCEPTS_MOST = 32  # of them at once
+LISTEN_BACKLOG = 1024  # connections that the system keeps until they are accepted
+ACCEPTS_MOST = 32  # connections accepted at once
+ACCEPT_PAUSE_S = 0.05  # before the next accept where no connection can be taken for the moment
+LEAVE_POLL_S = 0.05  # between two looks at the connections while the server leaves
 CROSSING_MS = 50.0  # what crosses a close by no more is sent again, by the protocol
-OLDEST = 8  # of those that never said anything, among whom one with nothing to be read goes first
-ACCEPT_PAUSE_S = 0.05
-FULL = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
-SO_ATTACH_FILTER = 26
-FAILED_BEFORE = (  # what an accept may tell of the connection that it would have brought: the next one may be well
+SLOW_WRITERS_ONE_IN = 4  # at most one in so many of the places, and of the buffers, is for messages written slowly
+SILENT_CANDIDATES = 8  # the oldest silent connections, among which one with nothing to be read makes room
+OUT_OF_RESOURCES = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+NEWCOMER_FAILED = (  # errors that an accept passes on from the one connection it would have returned
     errno.ECONNABORTED, errno.EPROTO, errno.ENOPROTOOPT, errno.EHOSTDOWN, errno.EHOSTUNREACH, errno.ENETDOWN,
     errno.ENETUNREACH, errno.ENONET, errno.EOPNOTSUPP, errno.EPERM, errno.ETIMEDOUT)
-WORDS = {State.SATISFIED: b"done", State.DISMISSED: b"later", State.FORFEITED: b"error"}
+SO_ATTACH_FILTER = 26  # of Linux; the socket module has no name for it
+BPF_RETURN = 0x06  # the instruction of a packet filter that ends it with the number of bytes to keep
 
 
 def bind(address: Address) -> socket.socket:
     """A listening socket on this address and no other."""
-    sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind(address)
-        sock.listen(BACKLOG)
+        sock.listen(LISTEN_BACKLOG)
         sock.setblocking(False)
     except OSError:
         sock.close()
@@ -71,295 +56,34 @@
 
 
 def refuse_newcomers(listener: socket.socket) -> None:
-    """Have the system pass over whoever knocks from here on: what came about between the last accept and the close
-    would be reset with its first transaction. Told again a second later, a newcomer meets a closed door, which proves
-    that nothing ran. Where the system has no such filter that instant stays open."""
-    drop_all = array("B", struct.pack("HBBI", 0x06, 0, 0, 0))  # one instruction: return 0 bytes of each packet
+    """Have the system drop the packets of new connections from here on.
+
+    A connection established between the last accept and the close would be reset together with its first transaction.
+    With its packets dropped, the client's system tries again a second later and is refused, which proves that nothing
+    ran. Where the system has no such filter, that short interval stays.
+    """
+    keep_no_bytes = struct.pack("HBBI", BPF_RETURN, 0, 0, 0)
+    instructions = array("B", keep_no_bytes)
+    address, _ = instructions.buffer_info()
+    instruction_count = 1
     with suppress(OSError):
-        listener.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, struct.pack("@HP", 1, drop_all.buffer_info()[0]))
-
-
-class BadField(Exception):
-    """A field that is missing, doubled or out of range."""
-
-
-def figure(fields: dict[str, str], name: str, least: float, most: float) -> float | None:
-    """A number over the least and up to the most, or None where it is absent."""
-    text = fields.get(name)
-    if text is None:
-        return None
-    try:
-        value = float(text)
-    except ValueError:
-        raise BadField(name) from None
-    if not math.isfinite(value) or not least < value <= most or "_" in text:
-        raise BadField(name)
-    return value
-
-
-def tag_in(parts: list[bytes]) -> int:
-    """The tag of a message, or 0 where it has none that could be answered."""
-    digits = parts[1] if len(parts) > 1 else b""
-    return int(digits) if digits.isdigit() and len(digits) <= TAG_DIGITS else 0
-
-
-def asked_from(parts: list[bytes], repeats: Mapping[str, Repeat], customers: frozenset[str], now: float,
-               past_ms: float) -> Asked:
-    """The transaction in an ASK behind its tag: grade, fields and body. One that claims to have come longer ago than
-    any caller waits, or to be yet to come, is none: its time unread would be taken for this server's slowness."""
-    if not 2 <= len(parts) <= 3:
-        raise BadField("parts")
-    try:
-        grade, text = parts[0].decode(), parts[1].decode()
-    except UnicodeDecodeError:
-        raise BadField("text") from None
-    body = parts[2] if len(parts) == 3 else b""
-    fields: dict[str, str] = {}
-    for pair in text.split(","):
-        name, is_pair, value = pair.partition("=")
-        if not is_pair or not value or name in fields:
-            raise BadField(name)
-        fields[name] = value
-    ident = fields.get("req", "")
-    if len(ident) != 16 or any(digit not in "0123456789abcdefABCDEF" for digit in ident):
-        raise BadField("req")
-    if grade not in repeats or len(body) > BODY_MOST:
-        raise BadField("grade or body")
-    customer = fields.get("owner")
-    if customers and customer not in customers:
-        raise BadField("owner")
-    reached, kb = figure(fields, "ts", 0.0, 1e15), figure(fields, "need", 0.0, KB_MOST)
-    if reached is None or not -past_ms <= reached - now <= AHEAD_MS:
-        raise BadField("ts")
-    if kb is None or kb == KB_MOST or fields.get("resent", "1") not in ("0", "1"):
-        raise BadField("need or resent")
-    level, via = figure(fields, "level", -1e-9, 1.0), fields.get("via", "")
-    if level == 1.0 or not via.isascii() or not via.isdigit() or len(via) > TAG_DIGITS:
-        raise BadField("level or via")
-    referenced = repeats[grade] is Repeat.REFERENCED
-    key = fields.get("opkey" if referenced else "subject")
-    if key is not None and len(key) > KEY_MOST:
-        raise BadField("opkey or subject")
-    return Asked(
-        ident=ident, grade=grade, body=body, reached=reached, kb=kb, customer=customer,
-        wait_ms=figure(fields, "timeout", 0.0, SPAN_MOST_MS), cost_hint_ms=figure(fields, "ms", 0.0, SPAN_MOST_MS),
-        again=fields.get("resent") == "1", caller=int(via), key=key)
-
-
-class Connection:
-    """One balancer's connection, or that of somebody who is none."""
-
-    def __init__(self, front: Balancers, sock: socket.socket) -> None:
-        self._front, self._host = front, front.host
-        self.stream = Stream(sock, front.host.buffers, front.host.tasks, front.host.generation.stall_ms,
-                             BACKLOG_MOST)
-        self._open: dict[int, Transaction] = {}
-        self.began = self.used = front.host.clock()
-        self._message_began: float | None = None  # when the first byte was read of one that is not whole yet
-        self.proven = False  # something that could be understood came on it
-        self._faults = 0
-        self.closing = False
-        self.parted: float | None = None  # when it began to end
-        self._quiet = anyio.Event()
-
-    async def serve(self) -> None:
-        """Read messages until the connection ends, and then tell the module of every caller that it took along."""
-        fault = Ended(Ending.LEFT)
-        try:
-            while True:
-                await self.stream.room()
-                await self._fill()
-                self._read()
-                if self._faults > FAULTS_MOST:
-                    raise Ended(Ending.GARBLED, "nothing but faults")
-        except Ended as ended:
-            fault = ended
-            if ended.ending not in (Ending.CLOSED, Ending.RESET):
-                await self._answer_the_rest()
-        except Exception as error:  # this connection alone ends, with all that it brought answered
-            fault = Ended(Ending.FAULT, repr(error))
-            self._host.log.error("balancer connection failed", error=repr(error), exc_info=error)
-            await self._answer_the_rest()
-        finally:
-            self.stream.end_with(fault.ending)
-            for one in self._open.values():
-                one.post(Gone())
-            self._open.clear()
-            self._front.tell_ended(fault)
-
-    def _prove(self) -> None:
-        self.proven = True
-        self._front.silent.pop(self, None)
-
-    async def _fill(self) -> None:
-        """Wait until more was read, or until a message is found to be written slowly and may go on."""
-        try:
-            await self.stream.fill(self._time_left())
-        except Ended as ended:
-            if ended.ending is not Ending.STALLED or not self._front.admit_slow_writer(self):
-                raise
-
-    def _time_left(self) -> float:
-        """How long the other side may take over its first byte, or over the rest of a message that it has begun."""
-        now = self._host.clock()
-        if self._message_began is not None:
-            slow = self in self._front.slow_writers
-            return self._message_began + (self._host.generation.stall_ms if slow else SLOW_MESSAGE_MS) - now
-        return inf if self.proven else self.used + FIRST_BYTE_MS - now
-
-    def _read(self) -> None:
-        stream = self.stream
-        while stream.data is not None:
-            if self._message_began is None:
-                self._message_began = self._host.clock()
-            try:
-                whole = resp.parse(stream.data, stream.start, stream.end)
-            except resp.Garbled as garbled:
-                self._refuse(garbled.parts)
-                raise Ended(Ending.GARBLED, str(garbled)) from None
-            if whole is None:
-                return
-            parts, upto = whole
-            stream.take(upto)
-            self.used, self._message_began = self._host.clock(), None
-            self._front.slow_writers.discard(self)
-            self._message(parts)
-
-    def _refuse(self, parts: list[bytes]) -> None:
-        """What cannot be understood to its end is refused by its first parts, where they hold a usable tag."""
-        if len(parts) > 1 and parts[0] != b"NEVERMIND" and (tag := tag_in(parts)) and tag not in self._open:
-            self._answer(tag, Answer(State.FORFEITED, self._host.said))
-
-    def _message(self, parts: list[bytes]) -> None:
-        verb, tag = parts[0], tag_in(parts)
-        if not tag:
-            raise Ended(Ending.GARBLED, "no tag")
-        if verb == b"NEVERMIND":
-            one = self._open.pop(tag, None)
-            if one is not None:
-                one.post(Gone())
-                self._settle()
-            return
-        if tag in self._open:
-            raise Ended(Ending.GARBLED, f"tag {tag} is in use")
-        if verb == b"STATUS":
-            self._prove()
-            self._send(tag, b"healthy" if self._host.healthy else b"sick", self._said(self._host.said))
-        elif verb == b"ASK":
-            taken = False
-            try:
-                taken = self._ask(tag, parts[2:])
-            except BadField as bad:
-                self._front.tell_bad(str(bad))
-            finally:
-                self._faults = 0 if taken else self._faults + 1
-                if not taken:
-                    self._answer(tag, Answer(State.FORFEITED, self._host.said))
-        else:
-            self._faults += 1
-            self._answer(tag, Answer(State.FORFEITED, self._host.said))
-
-    def _ask(self, tag: int, parts: list[bytes]) -> bool:
-        """Whether the transaction that is asked for has been taken; its life then goes on in a task."""
-        if len(self._open) >= OPEN_MOST:
-            raise BadField("more than may be open")
-        generation = self._host.generation  # under which it is read, and stays to its end
-        asked = asked_from(parts, generation.repeats, generation.customers, self._host.clock(), generation.stall_ms)
-        one = self._open[tag] = Transaction(asked, generation, lambda answer: self._answer(tag, answer))
-        if self._host.take(one):
-            self._prove()
-            return True
-        del self._open[tag]
-        return False
-
-    def _answer(self, tag: int, answer: Answer) -> None:
-        self._open.pop(tag, None)
-        fields = [self._said(answer.said)] if answer.said is not None else []
-        if answer.state is State.DISMISSED:
-            if answer.retry_after_ms > 0:
-                fields.append(b"holdoff=%.3f" % answer.retry_after_ms)
-            if answer.last:
-                fields.append(b"nomore=1")
-        self._send(tag, WORDS[answer.state], b",".join(fields), answer.body)
-        self.used = self._host.clock()
-        self._settle()
-
-    @staticmethod
-    def _said(said: float | None) -> bytes:
-        return b"" if said is None else b"signal=%.6f" % said
-
-    def _send(self, tag: int, word: bytes, fields: bytes, body: bytes = b"") -> None:
-        self.stream.write(resp.message(b"%d" % tag, word, fields, body))
-
-    def _settle(self) -> None:
-        if not self._open:
-            self._quiet.set()
-
-    @property
-    def idle(self) -> bool:
-        """Nothing is owed on it: nothing open, no half message, all sent."""
-        return not self._open and self.stream.data is None and self.stream.all_sent
-
-    def part(self, ending: Ending) -> bool:
-        """Begin to end it where nothing is owed on it, as far as can be seen: neither here nor, unread, in the system.
-        What comes from here on crosses the close. False where something is owed."""
-        if not self.idle or not self.stream.quiet:
-            return False
-        self.cut_off(ending)
-        return True
-
-    def cut_off(self, ending: Ending) -> None:
-        """Begin to end it whatever may be unread on it: there is no time, or no room, to answer more. What is open on
-        it, or not yet sent, is still owed."""
-        if self.parted is None and not self._open and self.stream.all_sent:
-            self.parted = self._host.clock()
-            self.stream.shut_down(ending)
-
-    async def _answer_the_rest(self) -> None:
-        """Nothing more is understood here, but what was read is still answered."""
-        while self._open and not self.stream.ending:
-            self._quiet = anyio.Event()
-            await self._quiet.wait()
-        with anyio.move_on_after(self._host.generation.stall_ms / 1000):
-            while not self.stream.all_sent and not self.stream.ending:
-                await anyio.sleep(ACCEPT_PAUSE_S)
-        if self.parted is None:
-            self.parted = self._host.clock()
-            self._front.note_parting(self)
-        await self.stream.linger()
-
-    def close(self) -> None:
-        """No new transaction is to come here; the balancer closes when all is answered."""
-        if not self.closing:
-            self.closing = True
-            self.stream.write(resp.message(b"0", b"closing"))
+        listener.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, struct.pack("@HP", instruction_count, address))
 
 
 class Balancers:
     """The listener and its connections."""
 
     def __init__(self, host: Host, listener: socket.socket) -> None:
-        self.host, self._listener = host, listener
+        self.host = host
+        self._listener = listener
         self._connections: set[Connection] = set()
-        self.silent: dict[Connection, None] = {}  # those of them that have proven nothing yet, the oldest first
+        self._silent: dict[Connection, None] = {}  # those without a valid request so far, the oldest first
         self._parting: dict[Connection, None] = {}  # those that linger, the first to do so first
         self.slow_writers: set[Connection] = set()  # those whose message may take as long as any caller waits
-        self._bad = 0
-        self._endings: Counter[Ending] = Counter()
-
-    def tell_bad(self, what: str) -> None:
-        """Malformed transactions: the first, and then every power of two of them, makes a line."""
-        self._bad += 1
-        if not self._bad & (self._bad - 1):
-            self.host.log.warning("transaction not understood", fault=what, so_far=self._bad)
-
-    def tell_ended(self, ended: Ended) -> None:
-        """Endings other than a plain close: of each kind the first, and then every power of two, makes a line."""
-        if ended.ending is not Ending.CLOSED:
-            self._endings[ended.ending] += 1
-            if not (count := self._endings[ended.ending]) & (count - 1):
-                self.host.log.info("balancer connection ended", ending=ended.ending.name, detail=ended.detail,
-                                   so_far=count)
+        self._malformed_count = 0
+        self._ending_counts: Counter[Ending] = Counter()
+
+    # Accepting
 
     async def serve(self) -> None:
         """Accept until the door is shut."""
@@ -372,8 +96,8 @@
                 await anyio.sleep(ACCEPT_PAUSE_S)
 
     def _accept(self, most: int = ACCEPTS_MOST) -> bool:
-        """Take some of the connections that wait; whether none can be taken for the moment. Not all, so that those that
-        were taken are read before others crowd them out."""
+        """Accept some of the connections that wait; returns whether to pause, as none can be taken for the moment. Not
+        all are accepted, so that those that were are read before others crowd them out."""
         shares = self.host.generation.shares
         for _ in range(most):
             if len(self._connections) >= shares.balancers + shares.lingering and not self._cut_lingering():
@@ -383,48 +107,75 @@
             except (BlockingIOError, InterruptedError):
                 return False
             except OSError as error:
-                if error.errno in FAILED_BEFORE:
+                if error.errno in NEWCOMER_FAILED:
                     continue
-                if error.errno in FULL:
-                    return not (self._cut_lingering() or self._make_room())
-                self.tell_ended(Ended(Ending.REFUSED, error.strerror or ""))
-                return True
-            full = len(self._connections) - len(self._parting) >= shares.balancers
-            roomy = not full or self._make_room()
-            connection = Connection(self, sock)
-            self._connections.add(connection)
-            self.silent[connection] = None
-            self.host.tasks.start_soon(self.host.guard, self._serve, connection)
-            if not roomy:  # whoever it is may go elsewhere at once: nothing was read
-                connection.cut_off(Ending.SHED)
-                self.note_parting(connection)
+                return not self._recover(error)
+            self._admit(sock)
         return False
 
-    def admit_slow_writer(self, connection: Connection) -> bool:
-        """Whether its message, which is not whole after SLOW_MESSAGE_MS, may take as long as any caller waits. Its
-        sender may be slow and mean well. Only a part of the places and buffers is given to such messages, so that
-        those who never end theirs take nobody else's."""
-        most = min(self.host.generation.shares.balancers, self.host.buffers.most) // SLOW_WRITERS_PART
-        if connection in self.slow_writers or len(self.slow_writers) >= max(1, most):
-            return False
-        self.slow_writers.add(connection)
-        return True
+    def _recover(self, error: OSError) -> bool:
+        """Whether an accept that failed with this error may be tried again at once."""
+        if error.errno in OUT_OF_RESOURCES:
+            return self._cut_lingering() or self._make_room()
+        self.report_ending(Ended(Ending.REFUSED, error.strerror or ""))
+        return False
+
+    def _admit(self, sock: socket.socket) -> None:
+        """Serve a connection that was accepted. Where no place is left for it, it is ended at once with nothing read,
+        so that its client may go to another server."""
+        has_place = self._has_free_place() or self._make_room()
+        connection = Connection(self, sock)
+        self._connections.add(connection)
+        self._silent[connection] = None
+        self.host.tasks.start_soon(self.host.guard, self._serve, connection)
+        if not has_place:
+            connection.cut_off(Ending.SHED)
+            self.note_parting(connection)
+
+    async def _serve(self, connection: Connection) -> None:
+        try:
+            await connection.serve()
+        finally:
+            self._forget(connection)
+
+    def _forget(self, connection: Connection) -> None:
+        self._connections.discard(connection)
+        self.slow_writers.discard(connection)
+        self._parting.pop(connection, None)
+        self._silent.pop(connection, None)
+
+    # Room for others
+
+    def _has_free_place(self) -> bool:
+        """Whether one more connection fits; those that linger have places of their own."""
+        return len(self._connections) - len(self._parting) < self.host.generation.shares.balancers
 
     def _make_room(self) -> bool:
-        """Begin to end one connection on which nothing is owed: the one that has said nothing for the longest time if
-        there are any that never said anything, else the one unused for the longest. Those who connect and say nothing
-        cannot fill the table; a caller that holds its connection for long opens another."""
-        chosen = next((each for each in list(islice(self.silent, OLDEST)) if each.part(Ending.SHED)), None)
+        """Begin to end one connection on which nothing is owed; returns whether there was one.
+
+        The longest silent one goes first, else the one unused for the longest. So clients that connect and say nothing
+        cannot fill the table, and a caller that loses a connection held for long opens another.
+        """
+        chosen = self._part_first(list(islice(self._silent, SILENT_CANDIDATES)))
         if chosen is None:
-            idle = sorted((each for each in self._connections if each.proven and each.idle), key=lambda each: each.used)
-            chosen = next((each for each in idle if each.part(Ending.SHED)), None)
-        if chosen is not None:
-            self.note_parting(chosen)
-        return chosen is not None
+            idle = [each for each in self._connections if each.proven and each.idle]
+            chosen = self._part_first(sorted(idle, key=lambda each: each.used))
+        if chosen is None:
+            return False
+        self.note_parting(chosen)
+        return True
+
+    @staticmethod
+    def _part_first(candidates: list[Connection]) -> Connection | None:
+        """The first of them on which nothing is owed, which has begun to end; None where there is none."""
+        return next((each for each in candidates if each.part(Ending.SHED)), None)
 
     def _cut_lingering(self) -> bool:
-        """Free a descriptor at once: of those that linger, the first that has done so for as long as what crosses a
-        close may take, or that never said anything, so that nothing of it can be lost."""
+        """Free a descriptor at once; returns whether one was freed.
+
+        Of the connections that linger, the first goes that has done so for as long as anything may cross a close, or
+        on which there never was a valid request, so that nothing can be lost.
+        """
         now = self.host.clock()
         for connection in self._parting:
             if not connection.proven or now - (connection.parted or now) >= CROSSING_MS:
@@ -433,53 +184,98 @@
                 return True
         return False
 
+    # What a connection tells
+
+    def note_proven(self, connection: Connection) -> None:
+        """A valid request came on it: it is no longer among the first to make room."""
+        self._silent.pop(connection, None)
+
     def note_parting(self, connection: Connection) -> None:
         """It lingers, and its place is free for another."""
-        self.silent.pop(connection, None)
+        self._silent.pop(connection, None)
         self._parting[connection] = None
 
-    def _forget(self, connection: Connection) -> None:
-        self._connections.discard(connection)
+    def is_slow_writer(self, connection: Connection) -> bool:
+        """Whether its message may take as long as any caller waits."""
+        return connection in self.slow_writers
+
+    def admit_slow_writer(self, connection: Connection) -> bool:
+        """Whether its message, which is not whole after SLOW_MESSAGE_MS, may take as long as any caller waits.
+
+        Its sender may be slow without ill intent. Only a part of the places and buffers is given to such messages, so
+        that senders who never finish theirs leave the rest to others.
+        """
+        most = min(self.host.generation.shares.balancers, self.host.buffers.most) // SLOW_WRITERS_ONE_IN
+        if connection in self.slow_writers or len(self.slow_writers) >= max(1, most):
+            return False
+        self.slow_writers.add(connection)
+        return True
+
+    def note_whole_message(self, connection: Connection) -> None:
+        """Its message is whole; the next one has the ordinary limit again."""
         self.slow_writers.discard(connection)
-        self._parting.pop(connection, None)
-        self.silent.pop(connection, None)
 
-    async def _serve(self, connection: Connection) -> None:
-        try:
-            await connection.serve()
-        finally:
-            self._forget(connection)
+    def report_malformed(self, fault: str) -> None:
+        """Log the first malformed transaction, and from then on each one whose count is a power of two."""
+        self._malformed_count += 1
+        if _is_power_of_two(self._malformed_count):
+            self.host.log.warning("transaction not understood", fault=fault, so_far=self._malformed_count)
+
+    def report_ending(self, ended: Ended) -> None:
+        """Log an ending other than a plain close: of each kind the first, and each whose count is a power of two."""
+        if ended.ending is Ending.CLOSED:
+            return
+        self._ending_counts[ended.ending] += 1
+        count = self._ending_counts[ended.ending]
+        if _is_power_of_two(count):
+            self.host.log.info("balancer connection ended", ending=ended.ending.name, detail=ended.detail,
+                               so_far=count)
+
+    # Ending connections
 
     def trim(self, idle_ms: float) -> None:
-        """Have connections closed that were unused for so long; one that is told and stays is ended."""
+        """Tell balancers to close connections unused for so long; one that was told and stays open is ended."""
         now = self.host.clock()
         for connection in list(self._connections):
-            if connection.idle and connection.parted is None and now - connection.used > idle_ms:
-                if not connection.closing:
-                    connection.close()
-                elif now - connection.used > idle_ms + self.host.generation.stall_ms and connection.part(Ending.IDLE):
-                    self.note_parting(connection)
+            unused_ms = now - connection.used
+            if not connection.idle or connection.parted is not None or unused_ms <= idle_ms:
+                continue
+            if not connection.closing:
+                connection.close()
+            elif unused_ms > idle_ms + self.host.generation.stall_ms and connection.part(Ending.IDLE):
+                self.note_parting(connection)
 
     def shut_door(self) -> None:
-        """Take what already stands at the door, and shut it."""
+        """Accept the connections that already wait, and close the listener."""
         if self._listener.fileno() < 0:
             return
         refuse_newcomers(self._listener)
-        self._accept(BACKLOG)
+        self._accept(LISTEN_BACKLOG)
         anyio.notify_closing(self._listener)
         self._listener.close()
 
     async def leave(self, left_ms: float) -> None:
-        """See every connection off within this time. Balancers close when they are told; what rests until the server
-        ends it is ended once nothing that they sent before they heard can still come."""
+        """End every connection within this time.
+
+        Balancers close theirs once they are told to. One that rests is ended by the server when nothing can arrive any
+        more that its balancer sent before it was told.
+        """
         self.shut_door()
         for connection in list(self._connections):
             connection.close()
         begun = self.host.clock()
         while self._connections:
-            await anyio.sleep(ACCEPT_PAUSE_S)
-            for connection in list(self._connections):
-                if self.host.clock() >= begun + left_ms - CROSSING_MS:
-                    connection.cut_off(Ending.LEFT)
-                elif connection.parted is None and self.host.clock() >= begun + 2 * CROSSING_MS:
-                    connection.part(Ending.LEFT)
+            await anyio.sleep(LEAVE_POLL_S)
+            self._end_resting(begun, left_ms)
+
+    def _end_resting(self, begun: float, left_ms: float) -> None:
+        """End the connections on which nothing is owed; near the end of the time also those with something unread."""
+        for connection in list(self._connections):
+            if self.host.clock() >= begun + left_ms - CROSSING_MS:
+                connection.cut_off(Ending.LEFT)
+            elif connection.parted is None and self.host.clock() >= begun + 2 * CROSSING_MS:
+                connection.part(Ending.LEFT)
+
+
+def _is_power_of_two(count: int) -> bool:
+    return count & (count - 1) == 0
