--- a/nickelslip/admission/control.py
+++ b/nickelslip/admission/control.py
@@ -31,7 +31,7 @@
 SPAN = 2.0  # what is learned looks back over so many of the longest quoted time
 TRUST = 2.0  # runs' worth of long memory mixed into the recent mean
 SPREAD = 1.5  # a prediction at the door allows for work that will come ahead and for runs over the mean
-IDLE_FROM, IDLE_LEAST = 2.0, 0.25  # from so many crowds' worth open, such a part of the callers' own time
+IDLE_FROM, IDLE_LEAST = 2.0, 0.01  # from so many crowds' worth open, down to such a part of the callers' own time
 AHEAD = 2.0  # so many times the credit for its work of all that runs may start one over the limit
 STUCK = 4.0  # a run over so many means frees no slot soon
 BUSY = 0.9  # under this share of busy cores they count as idle
@@ -173,7 +173,8 @@
         self._in: dict[State, dict[int, Item]] = {state: {} for state in State}
         self._entries: dict[int, float] = {}  # remembered transactions, and when each is forgotten
         self._limit = self._turning = float(settings.cores)
-        self._weight, self._early, self._reads, self._idle = 1.0, 0, 0, settings.idle_ms
+        self._weight, self._early, self._reads = 1.0, 0, 0
+        self._idle, self._idle_part = settings.idle_ms, 1.0  # of unused connections: told last, of the callers' own
         self._unread, self._busy, self._unread_ms, self._connections = 0.0, 0.0, 0.0, 0.0
         self._window_end, self._wake_at, self._looked = now + WINDOW_MS, inf, -inf
         self._drain_at = self._kill = self._owed_next = inf  # the last: nothing is owed before
@@ -207,7 +208,8 @@
                          for name in ("", *self._shares)}
         self._beyond = settings.beyond_share_worth
         self._slots_each = settings.cores * settings.crowd_multiple / settings.callers
-        self._checks_work, self._idle_max = settings.checks_work, settings.idle_ms
+        self._callers, self._idle_max = settings.callers, settings.idle_ms
+        self._checks_work = settings.checks_work
         told = settings.call_share > 0 and settings.call_span_ms > 0
         part = self._call_limit / self._call_share  # kept: found again call by call it would take seconds
         self._call_share = settings.call_share * CALL_PART if told else self._cores + self._crowd_more
@@ -440,11 +442,18 @@
             self._best = max(self._best, each.credit / work)
 
     def _trim_idle(self) -> None:
-        """A full table turns callers back unseen. In a storm of further tries, where connections stay longer,
-        that costs nothing; elsewhere cores idle for it. Harm: callers that pause open theirs anew."""
-        many = self._connections > IDLE_FROM * self._crowd_more
-        span = self._idle_max * (max(IDLE_LEAST, self._further) if many else 1.0)
-        if abs(span - self._idle) > 0.1 * self._idle_max:
+        """A full table turns callers back unseen. While the cores are busy that costs nothing and spares them the
+        reading; while they idle it keeps work from them, so that unused connections go sooner then. One keeps the
+        time that was in force when it was last used. Harm: callers that pause open theirs anew."""
+        many = IDLE_FROM * self._crowd_more
+        if self._callers <= many:  # all of them find a place
+            return
+        if self._busy >= BUSY:
+            self._idle_part = min(1.0, self._idle_part * (1 + WEIGHT_GAIN))
+        elif self._connections > many:
+            self._idle_part = max(IDLE_LEAST, self._idle_part * WEIGHT_CUT)
+        span = self._idle_max * self._idle_part
+        if abs(span - self._idle) > 0.1 * self._idle:
             self._idle = self._result.idle_ms = span
 
     def _size_calls(self, now: float, took_ms: float) -> None:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -340,16 +340,28 @@
     assert said == {Said.NOTHING: [], Said.CHANCE: [0.8], Said.SLOTS: [0.8 * 2], Said.RANK: [1 - 0.8]}
 
 
-def test_connections_idle_longer_the_more_further_tries_there_are():
-    idle = {}
-    for again in (False, True):
-        world = World(settings(idle_ms=8000.0))
-        for ident in range(1, 9):
-            world.read(ident, READ, again=again)
-            world.end(ident)
-        world.now = 150.0
-        idle[again] = world.control.timer(world.now, Gauges(busy=1.0, connections=50.0)).idle_ms
-    assert idle == {False: 2000.0, True: None}  # from the callers' own time, which is where it starts
+def idle_told(world, busy, connections, windows):
+    """The idle times that are told in so many windows."""
+    told = []
+    for _ in range(windows):
+        world.now += 100.0
+        told.append(world.take(world.control.timer(world.now, Gauges(busy=busy, connections=connections))).idle_ms)
+    return [each for each in told if each is not None]
+
+
+def test_unused_connections_go_sooner_while_cores_idle_and_stay_longer_while_they_are_busy():
+    world = World(settings(idle_ms=8000.0, callers=100))
+    assert idle_told(world, busy=1.0, connections=50.0, windows=3) == []  # the callers' own time
+    sooner = idle_told(world, busy=0.5, connections=50.0, windows=30)
+    assert sooner == sorted(sooner, reverse=True) and sooner[0] < 8000.0 and 80.0 <= sooner[-1] <= 90.0
+    assert idle_told(world, busy=0.5, connections=5.0, windows=5) == []  # few are open: nobody is turned back
+    longer = idle_told(world, busy=1.0, connections=50.0, windows=60)
+    assert longer == sorted(longer) and longer[-1] > 7000.0
+
+
+def test_where_all_callers_find_a_place_unused_connections_stay():
+    world = World(settings(idle_ms=8000.0, callers=12))
+    assert idle_told(world, busy=0.1, connections=50.0, windows=10) == []
 
 
 def test_news_of_transactions_already_ended_is_harmless():
