--- a/nickelslip/admission/control.py
+++ b/nickelslip/admission/control.py
@@ -31,7 +31,7 @@
 SPAN = 2.0  # what is learned looks back over so many of the longest quoted time
 TRUST = 2.0  # runs' worth of long memory mixed into the recent mean
 SPREAD = 1.5  # a prediction at the door allows for work that will come ahead and for runs over the mean
-IDLE_FROM, IDLE_LEAST = 2.0, 0.01  # from so many crowds' worth open, down to such a part of the callers' own time
+IDLE_FROM, IDLE_LEAST = 2.0, 0.01  # from so many crowds' worth open, down to such a part of the callers' time
 AHEAD = 2.0  # so many times the credit for its work of all that runs may start one over the limit
 STUCK = 4.0  # a run over so many means frees no slot soon
 BUSY = 0.9  # under this share of busy cores they count as idle
@@ -43,6 +43,8 @@
 CALLS_SLOW = 3.0  # a call that took so many times the best mean yet shows a crowded dependency
 CALLS_KNOWN = 16  # so many recent calls make a mean that can be the best
 CALL_LEAST = 1 / 3  # of this server's part of the calls: what the dependency is worked with while crowded
+WAIT_BINS, WAIT_MEMORY, WAIT_KNOWN = 64, 512, 16  # of waits: told apart so finely, over so many, from so many
+WAIT_USUAL = 1 / 8  # of the arrivals: a wait that so many tell is a usual one
 AGAIN_LEAST = 0.1  # a further try's age is not told: the more of them, the likelier its quoted time is over
 SIGMAS = 1.0  # a customer is beyond its share when its starts are so many deviations above it
 SHARE_SPANS = 4.0  # over so many spans, since a small server starts few of each customer in one
@@ -107,6 +109,25 @@
         return self._known[1]
 
 
+class Waits:
+    """How long callers say that they wait. The usual times stand out; a further try whose client's time is
+    nearly over has less than those, and so tells how old it is."""
+
+    def __init__(self) -> None:
+        self._counts, self._all = [0] * (WAIT_BINS + 2), 0
+
+    def is_cut(self, part: float) -> bool:
+        """Count a wait, as a part of the abandon time; whether it is none of the usual ones."""
+        at = min(max(int(part * WAIT_BINS), 0), WAIT_BINS)
+        if self._all >= WAIT_MEMORY:
+            self._counts = [each // 2 for each in self._counts]
+            self._all = sum(self._counts)
+        self._counts[at] += 1
+        self._all += 1
+        near = sum(self._counts[max(at - 1, 0):at + 2])
+        return self._all >= WAIT_KNOWN and near < WAIT_USUAL * self._all
+
+
 class Grading:
     """A service grade as decisions use it, and what was learned of it."""
 
@@ -123,6 +144,7 @@
         self.at_calls = Mean(grade.quoted_ms * CALL_GUESS if grade.calls else 0.0, span_ms)
         self.first, self.begun = Ring(SHARE_SPANS * span_ms), Ring(SHARE_SPANS * span_ms)  # tries, and starts
         self.starved = False
+        self.waits = Waits()
 
 
 class Item:
@@ -174,7 +196,7 @@
         self._entries: dict[int, float] = {}  # remembered transactions, and when each is forgotten
         self._limit = self._turning = float(settings.cores)
         self._weight, self._early, self._reads = 1.0, 0, 0
-        self._idle, self._idle_part = settings.idle_ms, 1.0  # of unused connections: told last, of the callers' own
+        self._idle, self._idle_part = settings.idle_ms, 1.0  # of unused connections: told last, of the most
         self._unread, self._busy, self._unread_ms, self._connections = 0.0, 0.0, 0.0, 0.0
         self._window_end, self._wake_at, self._looked = now + WINDOW_MS, inf, -inf
         self._drain_at = self._kill = self._owed_next = inf  # the last: nothing is owed before
@@ -189,7 +211,7 @@
             grading = self._gradings[grade.name] = Grading(grade, self._span)
             if (old := known.get(grade.name)) is not None:
                 grading.run, grading.ratio, grading.at_calls = old.run, old.ratio, old.at_calls
-                grading.first, grading.begun = old.first, old.begun
+                grading.first, grading.begun, grading.waits = old.first, old.begun, old.waits
         self._by_work, self._marks_again = settings.counted_by_work, settings.marks_again
         self._halts, self._said_as = settings.stopping is not Stopping.NEVER, settings.said
         self._advice_max, self._advice_part = settings.advice_max_ms, min(1.0, settings.callers / ADVISED)
@@ -235,6 +257,9 @@
         grading.first.add(now, 1.0, float(not arrival.again))
         tries, count = self._again.total(now)
         self._further = tries / count if self._marks_again else 0.0
+        waits = len(self._in[State.HELD]) > 1 or self._on_cores() >= self._limit
+        age = self._age(item, reached) if arrival.due_ms is not None else 0.0
+        item.worth_until -= age if waits else 0.0  # a core that is free takes what may still be in time
         self._rank(item, arrival, now)
         if reached > self._drain_at + self._grace:  # rule 3
             self._turn_away(item, now)
@@ -245,11 +270,10 @@
         else:
             if self._fresh > 0 and arrival.keyed and grading.replayable:
                 self._remember(item, now, item.due - now + self._fresh)
-            waits = len(self._in[State.HELD]) > 1 or self._on_cores() >= self._limit
             if waits and item.inside < 1:  # the whole fleet counts its share: it would help nowhere
                 self._turn_away(item, now, True)
             elif self._too_late(item, now) if waits else self._hopeless(item, now, full=False):
-                self._turn_away(item, now, arrival.again or self._weight < LAST_UNDER)
+                self._turn_away(item, now, arrival.again or age > 0 or self._weight < LAST_UNDER)
         return self._decide(now)
 
     def ended(self, now: float, ident: int, outcome: Outcome, took_ms: float) -> Result:
@@ -372,6 +396,12 @@
         item.state = state
         self._in[state][item.id] = item
 
+    def _age(self, item: Item, reached: float) -> float:
+        """How long ago its first try came, where the wait told is cut by its client's end; else 0. Harm: a
+        caller whose wait is rare here passes for an old one, while others wait."""
+        wait, abandon = item.due - reached, item.grading.abandon
+        return max(0.0, abandon - wait) if item.grading.waits.is_cut(wait / abandon) else 0.0
+
     def _rank(self, item: Item, arrival: Arrival, now: float) -> None:
         """Credit over expected work, less beyond a customer's share, or its part of all starts if more."""
         if arrival.customer in self._shares:
@@ -442,9 +472,9 @@
             self._best = max(self._best, each.credit / work)
 
     def _trim_idle(self) -> None:
-        """A full table turns callers back unseen. While the cores are busy that costs nothing and spares them the
-        reading; while they idle it keeps work from them, so that unused connections go sooner then. One keeps the
-        time that was in force when it was last used. Harm: callers that pause open theirs anew."""
+        """A full table turns callers back unseen. While the cores are busy that costs nothing and spares them
+        the reading; while they idle it keeps work from them, so that unused connections go sooner then. One
+        keeps the time in force when it was last used. Harm: callers that pause open theirs anew."""
         many = IDLE_FROM * self._crowd_more
         if self._callers <= many:  # all of them find a place
             return
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -408,3 +408,48 @@
     assert call(40, 9.0) == 5.1  # under a tick or two times tell nothing
     assert call(41, 90.0, unread=80.0) == 5.1  # what lay unread for so long is read late, replies too
     assert call(42, 90.0) < 5.1
+
+
+def told_waits(world, usual, many):
+    """So many have been read and have ended, all of which told the usual wait."""
+    for ident in range(100, 100 + many):
+        world.read(ident, READ, wait=usual)
+        world.end(ident)
+
+
+def test_a_wait_cut_short_by_its_clients_end_tells_that_a_try_is_too_old_to_wait():
+    world = World()
+    told_waits(world, usual=1500.0, many=30)
+    for ident in (1, 2, 3):
+        world.read(ident, READ, wait=1500.0)
+    assert world.at("core") == [1, 2] and world.at("held") == [3]
+    (change,) = world.read(4, READ, wait=1400.0).changes  # its first try came 1600 ms ago, quoted are 1000
+    assert change == (4, State.DISMISSED, change.span_ms, True)
+    assert not world.read(5, READ, wait=1500.0).changes  # a usual wait tells nothing
+    assert not world.read(6, READ, wait=2900.0).changes  # the first try came 100 ms ago
+
+
+def test_an_old_try_is_run_where_a_core_is_free():
+    world = World()
+    told_waits(world, usual=1500.0, many=30)
+    assert states(world.read(1, READ, wait=1400.0)) == [(1, State.RUNNING)]
+
+
+@pytest.mark.parametrize("usual", ([1500.0], [600.0, 1500.0, 2900.0]))
+def test_waits_are_usual_while_few_are_known_and_where_several_habits_meet(usual):
+    world = World()
+    for ident in (1, 2):
+        world.read(ident, READ, wait=3000.0)
+    for ident, wait in enumerate(usual * 40, start=100):
+        result = world.read(ident, READ, wait=wait)
+        assert not any(change.last for change in result.changes)
+        world.gone(ident)
+
+
+def test_the_memory_of_waits_follows_a_new_habit():
+    world = World()
+    told_waits(world, usual=1500.0, many=1000)
+    told_waits(world, usual=900.0, many=200)
+    for ident in (1, 2, 3):
+        world.read(ident, READ, wait=1500.0)
+    assert not world.read(4, READ, wait=900.0).changes
