--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -10,6 +10,7 @@
 
 from nickelslip.server import workers
 from nickelslip.server.endings import Ending
+from nickelslip.server.workers import Link
 from tests.helpers import A, B, Place, until
 
 pytestmark = pytest.mark.anyio
@@ -92,10 +93,13 @@
         else:
             await place.move()
         newest = place.pool
+        if not back:  # until it is being replaced the first link is up, and rightly takes what comes
+            await until(lambda: place.node.workers._link is not Link.UP or newest.binds())
         await caller.ask(A)
         await until(lambda: newest.told("spawn", A))
         await newest.finish(A)
         assert (await caller.answer())[:2] == (1, "done") and not second.told("spawn", A)
+        assert back or not first.told("spawn", A)
 
 
 async def test_a_directory_that_goes_quiet_moves_and_comes_back_is_told_on():
