--- a/nickelslip/admission/control.py
+++ b/nickelslip/admission/control.py
@@ -227,6 +227,7 @@
         self._grace = settings.drain_grace_ms - settings.tick_ms
         shares = SHARE_SPANS * self._span / 1000 / settings.servers
         self._shares = {each.name: each.share_per_s * shares for each in settings.customers}
+        self._shares_all = max(sum(self._shares.values()), 1e-9)
         self._started = {name: self._started.get(name) or Ring(SHARE_SPANS * self._span)
                          for name in ("", *self._shares)}
         self._beyond = settings.beyond_share_worth
@@ -407,7 +408,7 @@
         """Credit over expected work, less beyond a customer's share, or its part of all starts if more."""
         if arrival.customer in self._shares:
             part, count = self._shares[arrival.customer], self._started[arrival.customer].total(now)[1]
-            part *= max(1.0, self._started[""].total(now)[1] / max(sum(self._shares.values()), 1e-9))
+            part *= max(1.0, self._started[""].total(now)[1] / self._shares_all)
             item.inside = min(1.0, (part + SIGMAS * sqrt(part)) / max(count, 1e-9))
         worth = item.inside + self._beyond * (1 - item.inside)
         worth *= max(AGAIN_LEAST, 1 - self._further) if arrival.again else 1.0
