--- /dev/null
+++ b/benchmarks/capacity/__main__.py
@@ -0,0 +1,50 @@
+"""Slopes of what a server costs, against the users' plan.
+
+`python -m benchmarks.capacity [--quick] [--seed N] [--out FILE]` measures; the last line is one JSON object.
+`python -m benchmarks.capacity --page` makes docs/CAPACITY.md from docs/capacity/measured.json and measures nothing.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+from pathlib import Path
+
+import click
+import uvloop
+
+from benchmarks.capacity.page import page
+from benchmarks.capacity.results import measured_from
+from benchmarks.capacity.run import FULL, QUICK, Run
+from benchmarks.capacity.summary import summary_of
+from benchmarks.capacity.texts import ROOT
+
+DATA = ROOT / "docs" / "capacity" / "measured.json"
+PAGE = ROOT / "docs" / "CAPACITY.md"
+TEMPLATE = Path(__file__).with_name("page.md")
+
+
+def page_text() -> str:
+    """The page as the data file and the template have it."""
+    return page(measured_from(json.loads(DATA.read_text())), TEMPLATE.read_text())
+
+
+@click.command()
+@click.option("--quick", is_flag=True, help="Fewer sizes and shorter spans: under 120 s.")
+@click.option("--seed", default=7, show_default=True)
+@click.option("--out", type=click.Path(dir_okay=False, path_type=Path), help="Write what was measured to this file.")
+@click.option("--page", "make_page", is_flag=True, help="Measure nothing; make docs/CAPACITY.md from the data file.")
+def main(quick: bool, seed: int, out: Path | None, make_page: bool) -> None:
+    """Measure, or make the page."""
+    if make_page:
+        PAGE.write_text(page_text())
+        return
+    run = Run(QUICK if quick else FULL, seed, lambda line: click.echo(line, file=sys.stderr))
+    measured = uvloop.run(run.all(quick))
+    if out is not None:
+        out.write_text(json.dumps(measured.as_dict(), indent=1) + "\n")
+    click.echo(json.dumps(summary_of(measured)))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/capacity/echo.py
@@ -0,0 +1,31 @@
+"""An empty echo on loopback: what the machine and the client themselves add to a request.
+
+`python -m benchmarks.capacity.echo` prints its port and serves until it is ended.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import uvloop
+
+
+class Echo(asyncio.Protocol):
+    """Sends back what comes."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        self._transport.write(data)  # type: ignore[attr-defined]
+
+
+async def main() -> None:
+    """Serve on a free port until ended."""
+    server = await asyncio.get_running_loop().create_server(Echo, "127.0.0.1", 0)
+    print(server.sockets[0].getsockname()[1], flush=True)
+    await server.serve_forever()
+
+
+if __name__ == "__main__":
+    uvloop.run(main())
--- /dev/null
+++ b/benchmarks/capacity/plan.py
@@ -0,0 +1,56 @@
+"""The users' plan for two years: the sizes to design for, and the limits that they set.
+
+Owns the numbers of the plan and what follows from them by arithmetic alone. It must never hold a measured figure.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+DAY_S = 86_400.0
+
+
+@dataclass(frozen=True)
+class Plan:
+    """Sizes and limits, in the plan's own units."""
+
+    servers: int = 790
+    callers: int = 7_300
+    tenants: int = 37_000
+    routes: int = 2_300
+    requests_per_s: float = 55_000.0
+    added_ms_p99: float = 1.9
+    changes_per_day: int = 4_300
+    in_force_s: float = 14.0
+    control_core_share: float = 0.044
+    control_mb: float = 32.0
+    control_bytes_s: float = 28_000.0
+    zones: int = 6
+
+    @property
+    def requests_per_server_s(self) -> float:
+        """The mean rate of one server while all of them serve, at the peak."""
+        return self.requests_per_s / self.servers
+
+    @property
+    def requests_without_a_zone_s(self) -> float:
+        """The mean rate of one server while one zone of equal size is gone."""
+        return self.requests_per_server_s * self.zones / (self.zones - 1)
+
+    @property
+    def changes_per_s(self) -> float:
+        """The mean rate of changes of configuration."""
+        return self.changes_per_day / DAY_S
+
+    @property
+    def stop_ms_per_change(self) -> float:
+        """How long a server may stand still for one change, if it is to touch no more than one request in a hundred."""
+        return 0.01 * 1000 / self.changes_per_s
+
+    @property
+    def pairs(self) -> int:
+        """Connections in the fleet where every caller keeps one to every server."""
+        return self.servers * self.callers
+
+
+PLAN = Plan()
--- /dev/null
+++ b/benchmarks/capacity/rollout.py
@@ -0,0 +1,65 @@
+"""How soon a change is in force everywhere by today's `nickelslip config rollout`, in simulated time.
+
+Owns a run of the true `Rollout` over so many nodes, each of which takes the measured time for a change and confirms it
+after its shortest probation, with as many orders out at once as the command has. All nodes are up and quick, so the
+times are the least that the command can reach.
+"""
+
+from __future__ import annotations
+
+import heapq
+from dataclasses import dataclass
+from math import ceil
+
+from nickelslip.configuration.commands import NODES_AT_ONCE
+from nickelslip.configuration.config import ChangeRules
+from nickelslip.configuration.rollout import Course, Do, Order, Rollout, Terms
+
+STEP_MS = 50.0  # between the command's looks at its nodes
+MOST_MS = 600_000.0
+DIGEST = "0" * 32
+
+
+@dataclass(frozen=True)
+class Spread:
+    """What became of one roll-out."""
+
+    course: str
+    took_s: float
+    in_force_s: tuple[float, ...]  # when the change came into force at each node that got it, in order
+
+    def percentile(self, part: float) -> float:
+        """The time by which this part of the nodes that got it had it."""
+        return self.in_force_s[max(0, ceil(part * len(self.in_force_s)) - 1)]
+
+
+def spread(servers: int, apply_ms: float, status_ms: float) -> Spread:
+    """One roll-out over so many servers."""
+    terms, probation_ms = Terms(), ChangeRules().probation_ms
+    plan = Rollout([f"n{number}" for number in range(servers)], terms, 0.0)
+    waiting: list[Order] = []
+    out: list[tuple[float, str, Do]] = []  # replies, by when they come
+    in_force: dict[str, float] = {}
+    now = 0.0
+    while not plan.over and now < MOST_MS:
+        waiting += plan.step(now)
+        until = now + STEP_MS
+        while True:
+            while waiting and len(out) < NODES_AT_ONCE:
+                order = waiting.pop(0)
+                took = status_ms if order.do is Do.LOOK else apply_ms
+                heapq.heappush(out, (now + took, order.node, order.do))
+            if not out or out[0][0] > until:
+                break
+            now, node, do = heapq.heappop(out)
+            if do is Do.PUSH:
+                in_force.setdefault(node, now)
+            step = "confirmed" if now >= in_force.get(node, now) + probation_ms else "on_probation"
+            plan.told(now, node, do, _reply(step), DIGEST)
+        now = until
+    course = plan.course.name.lower() if plan.over else Course.GOING.name.lower()
+    return Spread(course, now / 1000, tuple(sorted(at / 1000 for at in in_force.values())))
+
+
+def _reply(step: str) -> dict[str, object]:
+    return {"ok": True, "change": {"step": step}, "step": step, "digest": DIGEST, "current": None}
--- /dev/null
+++ b/benchmarks/capacity/run.py
@@ -0,0 +1,313 @@
+"""One run of all measurements: hollow ones, real ones and simulated ones, one after the other.
+
+Owns the sizes at which each is done and the order. Each part fills in what it measured; nothing is filled in for a
+part that was not run.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import platform
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from dataclasses import asdict, dataclass, replace
+from pathlib import Path
+from statistics import median
+
+import orjson
+
+from benchmarks.capacity import hollow, real
+from benchmarks.capacity.plan import PLAN
+from benchmarks.capacity.results import FEW_TENANTS, HOLLOW, REAL, SIMULATED, Measured
+from benchmarks.capacity.rollout import spread
+from benchmarks.capacity.texts import lifted_bounds
+from nickelslip.configuration.client import ask_once
+from nickelslip.configuration.config import ChangeRules
+from nickelslip.configuration.rollout import Terms
+
+HELD_CORES, RATE_CORES = 2, 64
+REST_S = 1.2
+CHANGES_EACH = 3  # changes that are taken by a real server at each size
+ASK_MS = 20_000.0
+CONFIRMED_MOST_S = 8.0  # after a change, until it has to be confirmed
+WARM_LINES = 100  # connections that are open before those that are counted: a start leaves room for some
+REPORTS_S = 3.0  # over which reports are counted
+
+
+@dataclass(frozen=True)
+class Sizes:
+    """At which sizes each dimension is measured, and how long."""
+
+    tenants: tuple[int, ...]
+    grades: tuple[int, ...]
+    held: tuple[int, ...]
+    rates: tuple[float, ...]
+    connections: tuple[int, ...]
+    real_tenants: tuple[int, ...]
+    history_tenants: tuple[int, ...]  # few: each takes well over a hundred changes
+    servers: tuple[int, ...]
+    repeats: int
+    requests: int
+    span_s: float
+
+
+RATES = (35.0, PLAN.requests_per_server_s, PLAN.requests_without_a_zone_s, 3 * PLAN.requests_per_server_s)
+QUICK = Sizes(
+    tenants=(100, 700, 5_000, PLAN.tenants), grades=(2, 8, 24, 64), held=(16, 64, 256, 1024), rates=RATES,
+    connections=(50, 125, 320, 800), real_tenants=(100, 700, 5_000, PLAN.tenants), servers=(10, 79, 250, PLAN.servers),
+    repeats=3, requests=400, span_s=4.0, history_tenants=(50, 100, 200, 400))
+FULL = replace(
+    QUICK, tenants=(100, 400, 1_500, 6_000, 15_000, PLAN.tenants), grades=(2, 4, 8, 16, 32, 64),
+    held=(16, 64, 256, 512, 1024), connections=(50, 100, 200, 400, 800),
+    servers=(10, 40, 79, 160, 320, PLAN.servers), repeats=5, requests=2_000, span_s=20.0,
+    history_tenants=(60, 200, 600, 1_800))
+
+
+class Run:
+    """One run; `measured` is what it has brought so far."""
+
+    def __init__(self, sizes: Sizes, seed: int, tell: Callable[[str], None]) -> None:
+        self._sizes, self._seed, self._tell = sizes, seed, tell
+        self.measured = Measured()
+
+    async def all(self, quick: bool) -> Measured:
+        """Everything, in order."""
+        begun, loads = time.monotonic(), [os.getloadavg()[0]]
+        with lifted_bounds():
+            self._configurations()
+            self._memory()
+            self._decisions()
+        with tempfile.TemporaryDirectory(prefix="capacity") as folder:
+            await self._processes(Path(folder))
+            await self._connections(Path(folder))
+            await self._changes(Path(folder))
+            await self._history(Path(folder))
+            await self._requests(Path(folder))
+        self._rollouts()
+        self._together()
+        loads.append(os.getloadavg()[0])
+        self.measured.run = {
+            "quick": quick, "seed": self._seed, "seconds": round(time.monotonic() - begun, 1),
+            "python": platform.python_version(), "system": sys.platform, "cores": os.cpu_count(),
+            "load": [round(load, 1) for load in loads]}
+        return self.measured
+
+    def _configurations(self) -> None:
+        """What a settings document costs, by tenants and by grades."""
+        costs = {size: asdict(hollow.configuration_cost(size, self._sizes.repeats)) for size in self._sizes.tenants}
+        for name in next(iter(costs.values())):
+            unit = "bytes" if name.endswith("bytes") else "ms"
+            points = {size: cost[name] for size, cost in costs.items()}
+            self.measured.add(f"tenants_{name}", "tenants", unit, HOLLOW, points)
+        points = {size: hollow.configuration_cost(1, self._sizes.repeats, size).change_ms
+                  for size in self._sizes.grades}
+        self.measured.add("grades_change_ms", "grades", "ms", HOLLOW, points)
+        self._tell("configurations measured")
+
+    def _memory(self) -> None:
+        """What is kept for each tenant."""
+        costs = {size: asdict(hollow.memory_cost(size)) for size in self._sizes.tenants}
+        for name in ("configuration", "tables", "change"):
+            points = {size: cost[name] / 1024 for size, cost in costs.items()}
+            self.measured.add(f"tenants_{name}_kb", "tenants", "KB", HOLLOW, points)
+        points = {size: hollow.full_history_bytes(size) / 1024 for size in self._sizes.history_tenants}
+        self.measured.add("tenants_full_history_kb", "tenants", "KB", HOLLOW, points)
+        self.measured.figures["active_ring_bytes"] = hollow.active_ring_bytes()
+        self._tell("memory measured")
+
+    def _decisions(self) -> None:
+        """What the module takes for a request or an event."""
+        sizes = self._sizes
+        rate = PLAN.requests_per_server_s
+
+        def one(tenants: int, grades: int | None = None, at_rate: float = rate) -> float:
+            settings = hollow.settings_for(tenants, grades, cores=RATE_CORES)
+            return median(hollow.decision_us(settings, at_rate, sizes.requests, self._seed + trial)
+                          for trial in range(3))
+
+        points = {size: one(size) for size in sizes.tenants}
+        self.measured.add("tenants_decision_us", "tenants", "us a request", HOLLOW, points)
+        points = {size: one(1, size) for size in sizes.grades}
+        self.measured.add("grades_decision_us", "grades", "us a request", HOLLOW, points)
+        shares = {at: one(PLAN.tenants, None, at) * at / 1e6 for at in sizes.rates}
+        self.measured.add("rate_decision_share", "requests a second", "of a core", HOLLOW, shares)
+        settings = hollow.settings_for(FEW_TENANTS, cores=HELD_CORES)
+        grades = tuple(replace(grade, quoted_ms=hollow.LONG_MS, abandon_ms=hollow.LONG_MS)
+                       for grade in settings.grades)
+        settings = replace(settings, grades=grades)
+        points = {size: hollow.held_decision_us(settings, size, sizes.requests) for size in sizes.held}
+        self.measured.add("held_decision_us", "held items", "us an event", HOLLOW, points)
+        self._tell("decisions measured")
+
+    async def _processes(self, folder: Path) -> None:
+        """Start time and resident memory of real processes, and the reports of one."""
+        ready, resident = {}, {}
+        for size in self._sizes.real_tenants:
+            async with real.serving(folder, size) as server:
+                ready[size], resident[size] = server.ready_ms, server.resident_kb()
+                if size == FEW_TENANTS:
+                    await self._reports(server)
+        self.measured.add("real_tenants_ready_ms", "tenants", "ms", REAL, ready)
+        self.measured.add("real_tenants_resident_kb", "tenants", "KB", REAL, resident)
+        self._tell("processes measured")
+
+    async def _reports(self, server: real.Server) -> None:
+        begun = len(server.directory.reports)
+        await asyncio.sleep(REPORTS_S)
+        reports = server.directory.reports[begun:]
+        figures = self.measured.figures
+        if len(reports) >= 2:
+            figures["report_bytes"] = reports[-1][1] + real.UDP_HEADERS
+            figures["report_interval_s"] = (reports[-1][0] - reports[0][0]) / (len(reports) - 1)
+
+    async def _connections(self, folder: Path) -> None:
+        """What open connections at rest cost a real process."""
+        memory, share = {}, {}
+        async with real.serving(folder, FEW_TENANTS) as server:
+            await server.open_lines(WARM_LINES)
+            before = server.resident_kb()
+            self.measured.figures["rest_core_share"] = await server.processor_share(REST_S)
+            for size in self._sizes.connections:
+                await server.open_lines(WARM_LINES + size)
+                share[size] = await server.processor_share(REST_S)
+                memory[size] = server.resident_kb() - before
+                if any(line.ended for line in server.lines):
+                    raise RuntimeError("the server ended a connection that was to rest")
+        self.measured.add("connections_kb", "connections", "KB", REAL, memory)
+        self.measured.add("connections_core_share", "connections", "of a core", REAL, share)
+        self._tell("connections measured")
+
+    async def _changes(self, folder: Path) -> None:
+        """What a change costs a real process, and what it keeps of it."""
+        took, spent, kept, status = {}, {}, {}, 0.0
+        for size in self._sizes.real_tenants:
+            async with real.serving(folder, size, changes=True) as server:
+                trips, cores, resident = [], [], []
+                for number in range(CHANGES_EACH):
+                    had, begun = server.processor_ms(), time.perf_counter()
+                    reply = await ask_once(server.socket, "apply", ASK_MS, document=hollow.part_for(number))
+                    trips.append((time.perf_counter() - begun) * 1000)
+                    cores.append(server.processor_ms() - had)
+                    if not reply["ok"]:
+                        raise RuntimeError(f"a change was not taken: {reply['text']}")
+                    looked, status = await confirmed(server)
+                    resident.append(server.resident_kb())
+                took[size], spent[size] = median(trips), median(cores)
+                kept[size] = resident[-1]
+                self.measured.figures["change_bytes"] = len(orjson.dumps(hollow.part_for(0))) + len(orjson.dumps(reply))
+                self.measured.figures["status_bytes"] = len(orjson.dumps(looked))
+        self.measured.add("real_change_ms", "tenants", "ms", REAL, took)
+        self.measured.add("real_change_core_ms", "tenants", "ms", REAL, spent)
+        self.measured.add("real_changed_resident_kb", "tenants", "KB", REAL, kept)
+        self.measured.figures["status_ms"] = status
+        self._tell("changes measured")
+
+    async def _history(self, folder: Path) -> None:
+        """The memory of a full history in a real process, against the hollow figure at the same size."""
+        tenants = max(self._sizes.history_tenants)
+        async with real.serving(folder, tenants, changes=True) as server:
+            before = server.resident_kb()
+            for number in range(1, hollow.FULL_CHANGES + 1):
+                reply = await ask_once(server.socket, "apply", ASK_MS, document=hollow.rules_part_for(number))
+                if not reply["ok"]:
+                    raise RuntimeError(f"a change was not taken: {reply['text']}")
+            real_kb = server.resident_kb() - before
+        hollow_kb = self.measured.at("tenants_full_history_kb", tenants)
+        assert hollow_kb is not None
+        self.measured.figures["real_full_history_kb"] = real_kb
+        self.measured.figures["hollow_error_history"] = hollow_kb / real_kb - 1
+        self._tell("history measured")
+
+    async def _requests(self, folder: Path) -> None:
+        """What a real process adds to a request, beside an echo."""
+        figures = self.measured.figures
+        rate, span_s = PLAN.requests_per_server_s, self._sizes.span_s
+        async with real.echoing() as echo:
+            for tenants in (FEW_TENANTS, PLAN.tenants):
+                async with real.serving(folder, tenants) as server:
+                    for times in (1, 3):
+                        seen = await real.request_times(server, echo, tenants, times * rate, span_s, self._seed)
+                        at = f"{tenants}_{times}x"
+                        figures[f"added_ms_p50_{at}"] = percentile(seen.server_ms, 0.5)
+                        figures[f"added_ms_p99_{at}"] = percentile(seen.server_ms, 0.99)
+                        figures[f"added_echo_ms_p99_{at}"] = percentile(seen.echo_ms, 0.99)
+                        figures[f"request_core_share_{at}"] = seen.core_share
+                        figures[f"requests_{at}"] = len(seen.server_ms)
+                        figures[f"requests_failed_{at}"] = seen.failed
+        self._tell("requests measured")
+
+    def _rollouts(self) -> None:
+        """Roll-outs in simulated time, with the measured times of a change and a look."""
+        apply_ms = self.measured.at("real_change_ms", PLAN.tenants)
+        status_ms = self.measured.figures["status_ms"]
+        assert apply_ms is not None and status_ms is not None
+        last, took = {}, {}
+        for size in self._sizes.servers:
+            one = spread(size, apply_ms, status_ms)
+            last[size], took[size] = one.in_force_s[-1], one.took_s
+            self.measured.notes[f"rollout_{size}"] = one.course
+            if size == PLAN.servers:
+                self.measured.figures["simulated_in_force_s_p99"] = one.percentile(0.99)
+                self.measured.figures["simulated_in_force_s_max"] = one.in_force_s[-1]
+        self.measured.add("rollout_in_force_s", "servers", "s", SIMULATED, last)
+        self.measured.add("rollout_took_s", "servers", "s", SIMULATED, took)
+        self._tell("roll-outs simulated")
+
+    def _together(self) -> None:
+        """Figures that follow from several: the control side of a server, and hollow against real."""
+        measured, figures = self.measured, self.measured.figures
+        few, many = min(self._sizes.real_tenants), PLAN.tenants
+
+        def need(name: str, size: float) -> float:
+            value = measured.at(name, size)
+            assert value is not None, name
+            return value
+
+        rest = figures["rest_core_share"]
+        assert rest is not None
+        figures["control_core_share"] = rest + need("real_change_core_ms", many) / 1000 * PLAN.changes_per_s
+        base = need("real_tenants_resident_kb", few)
+        figures["control_mb"] = (need("real_changed_resident_kb", many) - base) / 1024
+        figures["control_changes_kept"] = CHANGES_EACH
+        real_kb = (need("real_tenants_resident_kb", many) - base) / (many - few)
+        hollow_kb = (self._kept_kb(many) - self._kept_kb(few)) / (many - few)
+        figures["real_kb_per_tenant"], figures["hollow_kb_per_tenant"] = real_kb, hollow_kb
+        figures["hollow_error_memory"] = hollow_kb / real_kb - 1
+        figures["hollow_error_change"] = need("tenants_change_ms", many) / need("real_change_core_ms", many) - 1
+        bytes_s = PLAN.changes_per_s * ((figures["change_bytes"] or 0.0) + self._looks() * figures["status_bytes"])
+        if figures.get("report_bytes") is not None and figures.get("report_interval_s"):
+            bytes_s += figures["report_bytes"] / figures["report_interval_s"]
+            figures["control_bytes_s"] = bytes_s
+        text = need("tenants_text_bytes", many)
+        figures["whole_documents_bytes_s"] = text * PLAN.changes_per_s
+
+    def _kept_kb(self, tenants: int) -> float:
+        configuration = self.measured.at("tenants_configuration_kb", tenants)
+        tables = self.measured.at("tenants_tables_kb", tenants)
+        assert configuration is not None and tables is not None
+        return configuration + tables
+
+    @staticmethod
+    def _looks() -> float:
+        """Looks of a roll-out at one node while a change is on its shortest probation."""
+        return ChangeRules().probation_ms / Terms().look_ms
+
+
+async def confirmed(server: real.Server) -> tuple[dict[str, object], float]:
+    """The status of a server once its change is confirmed, and how long the last question took, in milliseconds."""
+    async with asyncio.timeout(CONFIRMED_MOST_S):
+        while True:
+            begun = time.perf_counter()
+            looked = await ask_once(server.socket, "status", ASK_MS)
+            took = (time.perf_counter() - begun) * 1000
+            if looked["step"] == "confirmed":
+                return looked, took
+            await asyncio.sleep(0.1)
+
+
+def percentile(ordered: tuple[float, ...], part: float) -> float:
+    """Of figures in order, the one at this part."""
+    return ordered[min(len(ordered) - 1, int(part * len(ordered)))]
--- /dev/null
+++ b/benchmarks/capacity/summary.py
@@ -0,0 +1,42 @@
+"""The last line of a run: one JSON object with the keys by which versions are compared.
+
+Owns the names of the keys. What was not measured is null.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from benchmarks.capacity.plan import PLAN
+from benchmarks.capacity.results import SIMULATED, Measured
+from benchmarks.capacity.rows import rows_of
+
+DONE = "done"
+
+
+def summary_of(measured: Measured) -> dict[str, Any]:
+    """The object of the last line."""
+    figures = measured.figures
+    course = measured.notes.get(f"rollout_{PLAN.servers}")
+    in_force = course == DONE  # a change that is undone again never was in force everywhere
+    return {
+        "added_ms_p99": figures.get(f"added_ms_p99_{PLAN.tenants}_1x"),
+        "added_echo_ms_p99": figures.get(f"added_echo_ms_p99_{PLAN.tenants}_1x"),
+        "control_core_share": figures.get("control_core_share"),
+        "control_mb": figures.get("control_mb"),
+        "control_bytes_s": figures.get("control_bytes_s"),
+        "in_force_s_p99": figures.get("simulated_in_force_s_p99") if in_force else None,
+        "in_force_s_max": figures.get("simulated_in_force_s_max") if in_force else None,
+        "in_force_source": SIMULATED,
+        "simulated_in_force_s_p99": figures.get("simulated_in_force_s_p99"),
+        "simulated_in_force_s_max": figures.get("simulated_in_force_s_max"),
+        "simulated_rollout_end": course,
+        "changes_lost": None, "mixed_generations": None, "older_after_newer": None,  # need faults over real processes
+        "hollow_error": {"memory_per_tenant": figures.get("hollow_error_memory"),
+                         "change_time": figures.get("hollow_error_change"),
+                         "full_history": figures.get("hollow_error_history")},
+        "exponents": {name: {"dimension": series.dimension, "exponent": round(series.fit.exponent, 3),
+                             "error": round(series.fit.error, 3)}
+                      for name, series in measured.series.items() if series.fit is not None},
+        "over_limit": [f"{row.role}: {row.name}" for row in rows_of(measured) if row.over],
+    }
