--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -24,6 +24,7 @@
 )
 from nickelslip.server import resp
 from nickelslip.server.balancers import Balancers, bind
+from nickelslip.server.connection import Connection
 from nickelslip.server.changing import Changing, begin
 from nickelslip.server.control_socket import ControlSocket
 from nickelslip.configuration.config import ChangeRules, Config, config_of
@@ -568,6 +569,11 @@
     async def caller(self) -> Caller:
         return Caller(await anyio.connect_tcp("127.0.0.1", self.port))
 
+    def connection_of(self, peer: Peer) -> Connection | None:
+        """The server's side of this peer's connection, while it stands."""
+        return next((each for each in self.node.fronts[0]._connections
+                     if not each.stream.ending and each.stream._sock.getpeername() == peer.name), None)
+
     async def running(self, caller: Caller, ident: str, grade: str = "read", **fields: object) -> int:
         """Ask, and wait until its run has been started."""
         tag = await caller.ask(ident, grade, **fields)
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -8,7 +8,6 @@
 import pytest
 
 from nickelslip.server import connection, resp
-from nickelslip.server.connection import Connection
 from nickelslip.server.endings import Ended, Ending
 from nickelslip.server.streams import Stream
 from tests.helpers import A, B, Failing, Peer, Place, asking, until
@@ -22,22 +21,16 @@
     return "asyncio", {"use_uvloop": True}
 
 
-def here(place: Place, peer: Peer) -> Connection | None:
-    """The server's side of it."""
-    return next((each for each in place.node.fronts[0]._connections
-                 if not each.stream.ending and each.stream._sock.getpeername() == peer.name), None)
-
-
 def rested(place: Place, peer: Peer, ago_ms: float) -> None:
     """Have its connection be one that was last used so long ago."""
-    here(place, peer).used -= ago_ms
+    place.connection_of(peer).used -= ago_ms
 
 
 async def resting(place: Place) -> Peer:
     """One that has asked once, has not read what it was answered, and rests."""
     peer = Peer(place.port)
     peer.send(STATUS)
-    await until(lambda: (side := here(place, peer)) is not None and side.proven and side.idle)
+    await until(lambda: (side := place.connection_of(peer)) is not None and side.proven and side.idle)
     return peer
 
 
@@ -175,7 +168,7 @@
         second, third = await connected(place, first), Peer(place.port)
         third.send(STATUS)
         front._accept()
-        assert here(place, first).parted and here(place, third) is None  # it waits at the door
+        assert place.connection_of(first).parted and place.connection_of(third) is None  # it waits at the door
         second.send(STATUS)
         assert b"healthy" in await second.until(b"healthy")
         assert b"healthy" in await third.until(b"healthy") and b"healthy" in await first.to_the_end()
@@ -185,7 +178,7 @@
     """A newcomer that is taken at once, for which another one has to go."""
     peer = Peer(place.port)
     place.node.fronts[0]._accept()
-    assert here(place, peer) and here(place, other).parted
+    assert place.connection_of(peer) and place.connection_of(other).parted
     return peer
 
 
@@ -215,7 +208,7 @@
         asks = Peer(place.port)
         asks.send(asking(A))
         await until(lambda: place.pool.told("spawn", A), 1.0)
-        assert here(place, rests).parted is None  # who has asked before is not the one to go
+        assert place.connection_of(rests).parted is None  # who has asked before is not the one to go
         await place.pool.finish(A)
         assert b"result" in await asks.until(b"result") and all(each.sock.recv(1) == b"" for each in silent)
 
--- a/tests/test_slow_messages.py
+++ b/tests/test_slow_messages.py
@@ -10,7 +10,7 @@
 import pytest
 
 from nickelslip.server import connection, resp
-from nickelslip.server.connection import SLOW_MESSAGE_MS, Connection
+from nickelslip.server.connection import SLOW_MESSAGE_MS
 from tests.helpers import A, B, Peer, Place, asking, until
 
 pytestmark = pytest.mark.anyio
@@ -23,14 +23,8 @@
     return "asyncio", {"use_uvloop": True}
 
 
-def here(place: Place, peer: Peer) -> Connection | None:
-    """The server's side of it."""
-    return next((each for each in place.node.fronts[0]._connections
-                 if not each.stream.ending and each.stream._sock.getpeername() == peer.name), None)
-
-
 def half_read(place: Place, peer: Peer) -> bool:
-    return (side := here(place, peer)) is not None and side.stream.data is not None
+    return (side := place.connection_of(peer)) is not None and side.stream.data is not None
 
 
 class Clock:
@@ -61,7 +55,7 @@
     for at in range(0, len(message), size):
         peer.send(message[at:at + size])
         if at + size < len(message):
-            await until(lambda at=at: (side := here(place, peer)) is not None and side.stream.data is not None
+            await until(lambda at=at: (side := place.connection_of(peer)) is not None and side.stream.data is not None
                         and side.stream.end - side.stream.start == at + size)
 
 
@@ -92,14 +86,14 @@
     async with Place() as place:
         await place.up()
         clock, peer = Clock(place), Peer(place.port)
-        await until(lambda: here(place, peer))
+        await until(lambda: place.connection_of(peer))
         clock.advance(NEARLY_MS)
         message = clock.asking(A, NEARLY_MS)  # when it is whole
         peer.send(message[:20])
         await until(lambda: half_read(place, peer))
         clock.advance(NEARLY_MS)
         peer.send(message[20:40])
-        await until(lambda: here(place, peer) is None or here(place, peer).stream.end == 40)
+        await until(lambda: place.connection_of(peer) is None or place.connection_of(peer).stream.end == 40)
         peer.send(message[40:])
         await served(place, peer, A)
 
@@ -129,9 +123,9 @@
         begun = time.monotonic()
         peer.send(asking(A) + asking(B, tag=3)[:30])
         await until(lambda: place.pool.told("spawn", A))
-        await until(lambda: here(place, peer) in place.node.fronts[0].slow_writers)
+        await until(lambda: place.connection_of(peer) in place.node.fronts[0].slow_writers)
         await anyio.sleep(0.5)
-        assert (side := here(place, peer)) is not None and side.stream.shut is None  # an answer is still owed
+        assert (side := place.connection_of(peer)) is not None and side.stream.shut is None  # an answer is still owed
         await place.pool.finish(A)
         assert b"result" in await peer.to_the_end()
         assert time.monotonic() - begun >= 0.4
@@ -155,7 +149,7 @@
         assert len(front.slow_writers) == 1
         late = await resting(place)
         late.send(STATUS[:10])
-        await until(lambda: here(place, late) in front.slow_writers)
+        await until(lambda: place.connection_of(late) in front.slow_writers)
         for peer in (slow[1], late):
             peer.send(STATUS[10:])
             assert b"healthy" in await peer.until(b"healthy")
