--- a/nickelslip/admission/control.py
+++ b/nickelslip/admission/control.py
@@ -35,7 +35,6 @@
 AHEAD = 2.0  # so many times the credit for its work of all that runs may start one over the limit
 STUCK = 4.0  # a run over so many means frees no slot soon
 BUSY = 0.9  # under this share of busy cores they count as idle
-GAUGE_MS = 500.0  # over which that share is taken
 CROWD_PART = 0.7  # of the crowd that a server survives, all that can be on the cores at once
 MEMORY_PART = 0.97
 CALL_PART = 0.85  # of the calls that are this server's part, in the mean
@@ -508,16 +507,13 @@
         self._turning = max(self._limit - stuck, 0.0)
 
     def _size_limit(self) -> None:
-        """The running limit grows while cores idle and work waits, and falls back to the cores. Over these it
-        grows by one in the time over which their gauge is taken."""
+        """The running limit grows while cores idle and work waits, and falls back to the cores."""
         if self._unread > UNREAD_KEEP:
             self._limit = max(self._cores / 2, self._limit - 1)
-        elif self._limit < self._cores:
+        elif self._limit < self._cores or (self._busy < BUSY and self._in[State.HELD]):
             self._limit += 1
-        elif self._busy < BUSY and self._in[State.HELD]:
-            self._limit += WINDOW_MS / GAUGE_MS
-        else:
-            self._limit = max(self._limit - 1, float(self._cores))
+        elif self._limit > self._cores:
+            self._limit -= 1
         self._limit = min(self._limit, self._most)
 
     def _answer_due(self, now: float) -> None:
@@ -548,8 +544,7 @@
         line = len(self._in[State.AT_CALL]) >= self._cores
         for item in sorted(self._in[State.HELD].values(), key=SORT) if self._on_cores() < most else ():
             on_cores = self._on_cores()
-            full = on_cores + self._returning(item, now) >= self._limit
-            if on_cores >= most or (full and not self._ahead(item)):
+            if on_cores >= most or (on_cores >= self._limit and not self._ahead(item)):
                 return
             if item.ran and not item.grading.replayable:
                 continue
@@ -560,12 +555,6 @@
             if self._used() + (self._run_factor - 1) * item.kb <= self._memory:
                 self._move(now, item, State.RUNNING)
 
-    def _returning(self, item: Item, now: float) -> float:
-        """Slots that calls out will take back, unasked, within the run of this one: past some number of runs,
-        which is not told, a core gets less done. Harm: a core idles where calls take longer than foreseen."""
-        back = item.work / max(item.work + self._call_time.at(now), 1e-9)
-        return back * len(self._in[State.CALLING])
-
     def _kept_free(self, item: Item) -> float:
         """Slots that stay free for other grades than this one's, by the operators' reserves."""
         free = {name: slots for name, slots in self._reserved.items() if name != item.grading.name}
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -453,31 +453,3 @@
     for ident in (1, 2, 3):
         world.read(ident, READ, wait=1500.0)
     assert not world.read(4, READ, wait=900.0).changes
-
-
-def test_calls_out_take_back_their_slots_so_that_fewer_start_meanwhile():
-    world = World(settings(call_share=4.0))
-    for ident in (1, 2):
-        world.read(ident, READ)
-        world.call(ident)
-    assert world.at("out") == [1, 2]
-    for ident in (3, 4):
-        world.read(ident, READ, wait=2900.0)
-    assert world.at("core") == [3] and world.at("held") == [4]
-    world.back(1, Outcome.OK)
-    assert world.at("core") == [1, 3] and world.at("held") == [4]
-    world.end(1)
-    world.end(3)
-    assert world.at("core") == [4]
-
-
-def test_over_the_cores_the_limit_grows_no_faster_than_the_gauge_can_tell():
-    world = busy_world()
-    for ident in (3, 4, 5, 6):
-        world.read(ident, PAY, wait=1400.0)
-    started = []
-    for _ in range(10):
-        world.now += 100.0
-        world.take(world.control.timer(world.now, Gauges(busy=0.5)))
-        started.append(len(world.at("core")))
-    assert started[0] <= 3 and max(started) <= 5
