--- a/review/standins/sites.py
+++ b/review/standins/sites.py
@@ -84,3 +84,36 @@
         "memory-span-ms": 5000.0,
         "name": name,
     }
+
+
+def riga_payout_keyed(core_count: int, server_count: int) -> dict[str, Any]:
+    """Return the settings of a payout node whose `payout` is known by a key, as the short days may have it."""
+    payout = {**_read_like("payout", 3.0, 1100.0, 2800.0), "idempotency": "idempotency_key"}
+    settings = latgale_card_tips(core_count, server_count)
+    return {
+        **settings,
+        "classes": [_read_like("balance", 1.0, 3400.0, 11000.0), payout],
+        "counted-by": "request",
+        "invariants": {
+            **settings["invariants"],
+            "cold-ms": 18000.0,
+            "fall-ms": 1500.0,
+            "stop-sending-within-ms": 2500.0,
+        },
+        "layers": ["payout-nodes"],
+        "over-share-worth": 0.1,
+        "specifics": {
+            **settings["specifics"],
+            "class-calls": [True, True],
+            "class-skip-worth": [0.6, 0.0],
+            "kb-per-key": 46.02,
+            "memory-kb": 17436.0,
+            "stop-mode": "drop",
+        },
+        "tenants": [
+            {"name": "daugava-grupa", "quota-rps": 100.0 * server_count, "share": 0.58},
+            {"name": "vecriga-krogi", "quota-rps": 100.0 * server_count, "share": 0.42},
+        ],
+        "zone": "riga-purvciems",
+        "zones": ["riga-centrs", "riga-purvciems", "jelgava"],
+    }
