--- a/review/1/case.py
+++ b/review/1/case.py
@@ -26,6 +26,7 @@
 MIX = ("balance-check", "balance-check", "terminal-tip", "shift-split")
 ROUGH = (0.7, 1.0, 1.4)  # a hint is the work times one of these
 HINT_OUT_OF_RANGE = "1e-320"
+HINT_IN_RANGE = "20.0"
 
 
 def parts_of(each: Try) -> list[float]:
@@ -54,9 +55,9 @@
     async with Rig(HERE, settings, CORE_COUNT, parts_of) as rig:
         balancer = await rig.connect()
         await send_traffic(rig, balancer, QUIET_S, tries)
-        if is_trouble_on():
-            outsider = await rig.connect(via=9)
-            outsider.ask("balance-check", b"hello", DEADLINES_MS["balance-check"], TENANT, ms=HINT_OUT_OF_RANGE)
+        outsider = await rig.connect(via=9)
+        hint = HINT_OUT_OF_RANGE if is_trouble_on() else HINT_IN_RANGE
+        outsider.ask("balance-check", b"hello", DEADLINES_MS["balance-check"], TENANT, ms=hint)
         await send_traffic(rig, balancer, AFTER_S, tries)
         for _ in range(int(LAST_ANSWERS_S * 10)):
             if not balancer.open or balancer.is_ended:
--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import traceback
 from collections.abc import Awaitable, Callable
@@ -18,7 +19,11 @@
 
 
 def run_case(scenario: Callable[[], Awaitable[str]]) -> None:
-    """Run a scenario, which returns what was broken or an empty text, and exit with the code of its result."""
+    """Run a scenario, which returns what was broken or an empty text, and exit with the code of its result.
+
+    SIGTERM ends it like an error, so that the server's process is ended too.
+    """
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     try:
         broken = asyncio.run(asyncio.wait_for(scenario(), MAX_CASE_S))
     except BaseException:  # whatever it was, the case says nothing about the rule
