--- a/review/1/case.py
+++ b/review/1/case.py
@@ -11,7 +11,7 @@
 sys.path.insert(0, str(HERE.parent / "standins"))
 
 from case import is_trouble_on, run_case  # noqa: E402
-from rig import Connection, Rig, Try  # noqa: E402
+from rig import Connection, Record, Rig, Try  # noqa: E402
 from sites import latgale_card_tips  # noqa: E402
 
 CORE_COUNT = 6
@@ -52,7 +52,7 @@
     """Play the case and return what was broken."""
     settings = latgale_card_tips(CORE_COUNT, SERVER_COUNT)
     tries: list[Try] = []
-    async with Rig(HERE, settings, CORE_COUNT, parts_of) as rig:
+    async with Rig(Record(HERE / "record.txt"), settings, CORE_COUNT, parts_of) as rig:
         balancer = await rig.connect()
         await send_traffic(rig, balancer, QUIET_S, tries)
         outsider = await rig.connect(via=9)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""Clients send hundreds of requests and withdraw them at once; afterwards the server turns away all that it is sent."""
+"""A client outside the platform sends some hundred requests that wait a day; the server then runs nothing any more."""
 
 from __future__ import annotations
 
@@ -11,95 +11,89 @@
 sys.path.insert(0, str(HERE.parent / "standins"))
 
 from case import is_trouble_on, run_case  # noqa: E402
-from rig import Connection, Rig, Try, now_ms  # noqa: E402
-from sites import latgale_card_tips  # noqa: E402
+from rig import Connection, Record, Rig, Try  # noqa: E402
+from sites import riga_payout_keyed  # noqa: E402
 
-CORE_COUNT = 2
-SERVER_COUNT = 20
-TENANTS = ("ezerkrasts", "dinaburga-galds")
-DEADLINE_MS = 8600.0
-WORK_MS = 10.0
-GAUGES_DELAY_MS = 8.0  # the pool answers `poll` after this time
-CONNECTION_COUNT = 10
-OPEN_PER_CONNECTION = 32  # the most that the protocol allows
-ASKS_PER_STEP = 4
-STEP_S = 0.001
-GAP_S = 0.002  # between two connections
-PAUSE_S = 0.1
-ROUND_S = 13.0
-ROUNDS = 6
-CALM_S = 2.0
-PROBES = 20
-LAST_PROBES = 40
-PROBE_PAUSE_S = 0.05
+CORE_COUNT = 6
+SERVER_COUNT = 10
+TENANT = "daugava-grupa"
+DEADLINES_MS = {"balance": 11000.0, "payout": 2800.0}
+WORK_MS = {"balance": 60.0, "payout": 30.0}
+RATE_PER_S = 20
+QUIET_S = 5.0
+WAVES = 5  # of the client outside the platform
+REQUESTS_PER_WAVE = 150
+WAVE_S = 3.0
+OPEN_PER_CONNECTION = 32
+NEED_KB = 0.1
+DAY_MS = 86_400_000.0
+EASE_S = 25.0  # longer than any deadline, and five times the window of repeats
+LAST_S = 15.0
+POLL_S = 0.02
 
 
-async def probe(balancer: Connection, count: int) -> Counter[str]:
-    """Send requests of the ordinary balancer one at a time to an idle server, and return the words of the answers."""
-    words: Counter[str] = Counter()
-    for number in range(count):
-        each = balancer.ask("shift-split", b"split %d" % number, DEADLINE_MS, TENANTS[0], ms=f"{WORK_MS}")
-        while not each.word and not balancer.is_ended and now_ms() < each.written_at_ms + DEADLINE_MS:
-            await asyncio.sleep(PROBE_PAUSE_S / 10)
-        words[each.word] += 1
-        await asyncio.sleep(PROBE_PAUSE_S)
-    return words
+def parts_of(each: Try) -> list[float]:
+    """Return the core time of a run, with one call in the middle."""
+    return [WORK_MS[each.traffic_class] / 2] * 2
 
 
-async def send_and_withdraw(connections: list[Connection]) -> list[Try]:
-    """Send 320 requests, and withdraw at once all of a connection that are not answered yet."""
-    sent: list[Try] = []
-    for connection in connections:
-        tries: list[Try] = []
-        for number in range(OPEN_PER_CONNECTION):
-            if number % ASKS_PER_STEP == 0:
-                await asyncio.sleep(STEP_S)
-            owner = TENANTS[number % len(TENANTS)]
-            tries.append(connection.ask("shift-split", b"more", DEADLINE_MS, owner, need=2.0, ms=f"{WORK_MS}"))
-        if is_trouble_on():
-            for each in tries:
-                connection.withdraw(each)
-            connection.open.clear()
-        sent += tries
-        await asyncio.sleep(GAP_S)
-    while not all(each.is_over for each in sent):  # only without the disruption
-        await asyncio.sleep(GAP_S)
-    await asyncio.sleep(PAUSE_S)
-    return sent
+async def send_traffic(rig: Rig, balancer: Connection, for_s: float) -> list[Try]:
+    """Send the balancer's requests at a low rate, wait for their answers, and return them."""
+    tries = []
+    for number in range(int(for_s * RATE_PER_S)):
+        if balancer.is_ended or rig.server.process.poll() is not None:
+            break
+        traffic_class = "payout" if number % 3 == 0 else "balance"
+        key = {"opkey": f"op-{rig.world.new_id()}"} if traffic_class == "payout" else {}
+        tries.append(balancer.ask(traffic_class, b"tips %d" % number, DEADLINES_MS[traffic_class], TENANT, **key))
+        await asyncio.sleep(1 / RATE_PER_S)
+    while balancer.open and not balancer.is_ended:
+        await asyncio.sleep(POLL_S)
+    return tries
+
+
+async def send_outside_requests(rig: Rig) -> Counter[str]:
+    """Send requests with ids that the worker pool does not know and with a timeout of a day, 32 open at a time."""
+    outsider = await rig.connect(via=9)
+    tries = []
+    for number in range(WAVES * REQUESTS_PER_WAVE):
+        if number and number % REQUESTS_PER_WAVE == 0:
+            await asyncio.sleep(WAVE_S)
+        while len(outsider.open) >= OPEN_PER_CONNECTION and not outsider.is_ended:
+            await asyncio.sleep(POLL_S / 10)
+        if outsider.is_ended:
+            break
+        each = outsider.ask("payout", b"mine", DAY_MS, TENANT, NEED_KB, opkey=f"mine-{number}")
+        del rig.world.tries[each.id_hex]  # the pool does not know it
+        tries.append(each)
+    while outsider.open and not outsider.is_ended:
+        await asyncio.sleep(POLL_S)
+    outsider.close()
+    return Counter(each.word for each in tries)
 
 
 async def scenario() -> str:
     """Play the case and return what was broken."""
-    settings = latgale_card_tips(CORE_COUNT, SERVER_COUNT)
-    async with Rig(HERE, settings, CORE_COUNT, lambda each: [WORK_MS / 2, WORK_MS / 2]) as rig:
-        rig.pool.gauges_delay_ms = GAUGES_DELAY_MS
+    settings = riga_payout_keyed(CORE_COUNT, SERVER_COUNT)
+    async with Rig(Record(HERE / "record.txt"), settings, CORE_COUNT, parts_of) as rig:
         balancer = await rig.connect()
-        before = await probe(balancer, PROBES)
-        connections = [await rig.connect(via=9) for _ in range(CONNECTION_COUNT)]
-        withdrawn = answered = 0
-        for _ in range(ROUNDS):
-            ends_at_ms = now_ms() + ROUND_S * 1000
-            while now_ms() < ends_at_ms:
-                tries = await send_and_withdraw(connections)
-                withdrawn += sum(each.is_withdrawn for each in tries)
-                answered += sum(bool(each.word) for each in tries)
-            await asyncio.sleep(CALM_S)
-            words = await probe(balancer, PROBES // 4)
-            rig.record.add("probe", answers=words)
-            if not words["done"]:
-                break
-        await asyncio.sleep(CALM_S)
-        after = await probe(balancer, LAST_PROBES)
-        runs_left = len(rig.pool.runs)
+        before = Counter(each.word for each in await send_traffic(rig, balancer, QUIET_S))
+        outside = await send_outside_requests(rig) if is_trouble_on() else Counter()
+        await asyncio.sleep(EASE_S)
+        run_count = rig.pool.spawn_count
+        after = Counter(each.word for each in await send_traffic(rig, balancer, LAST_S))
+        new_runs = rig.pool.spawn_count - run_count
         health = await balancer.check_health()
-        rig.record.add("result", before=before, after=after, withdrawn=withdrawn, health=health, runs_left=runs_left)
-        print("before", dict(before), "withdrawn", withdrawn, "answered", answered, "after", dict(after), health)
-        if before["done"] != PROBES:
-            raise RuntimeError("the idle server did not serve before the disruption")
+        rig.record.add("result", before=before, outside=outside, after=after, new_runs=new_runs, health=health)
+        print("before", dict(before), "outside", dict(outside), "after", dict(after), "runs", new_runs, health)
+        if set(before) != {"done"}:
+            raise RuntimeError("the server did not serve all before the disruption")
         if rig.server.process.poll() is not None:
             return "the server exited by itself"
-        if after["done"] < LAST_PROBES / 2:
-            return f"of {LAST_PROBES} requests sent singly to the idle server afterwards, {after['done']} were served"
+        if after["done"] < sum(after.values()) / 2:
+            return (
+                f"{EASE_S:.0f} s after the client's end, {after['done']} of {sum(after.values())} requests were served"
+            )
         return ""
 
 
--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -54,6 +54,12 @@
         self._file = path.open("w", encoding="utf-8")
         self._began_at_ms = now_ms()
 
+    def __enter__(self) -> Record:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.close()
+
     def add(self, event: str, **fields: object) -> None:
         """Write one event with its time in milliseconds since the start of the case."""
         line = {"at_ms": round(now_ms() - self._began_at_ms, 1), "event": event, **fields}
@@ -152,6 +158,8 @@
         self._timer: asyncio.TimerHandle | None = None
         self.spawn_count = 0
         self.gauges_delay_ms = 0.0
+        self.speed: Callable[[], float] = lambda: 1.0
+        self.core_loads: list[tuple[float, float, int]] = []  # from, to, runs on the cores
 
     async def listen(self, port: int) -> asyncio.Server:
         """Listen on a port."""
@@ -279,12 +287,13 @@
         """Give each run on the cores its share of the time since the last call."""
         at_ms = now_ms()
         running = self._on_cores()
+        self.core_loads.append((self._shared_at_ms, at_ms, len(running)))
         if running:
             elapsed_ms = at_ms - self._shared_at_ms
             used_ms = elapsed_ms * min(len(running), self._core_count)
             self._busy.append((at_ms, used_ms))
             for run in running:
-                run.remaining_ms -= used_ms / len(running)
+                run.remaining_ms -= used_ms * self.speed() / len(running)
         self._shared_at_ms = at_ms
 
     def _plan(self) -> None:
@@ -292,7 +301,7 @@
             self._timer.cancel()
         running = self._on_cores()
         if running:
-            speed = min(len(running), self._core_count) / len(running)
+            speed = self.speed() * min(len(running), self._core_count) / len(running)
             wait_ms = max(0.0, min(run.remaining_ms for run in running)) / speed
             self._timer = asyncio.get_running_loop().call_later(wait_ms / MS_PER_S, self._advance)
 
@@ -521,21 +530,22 @@
     """A server with its stand-ins, as an asynchronous context.
 
     Args:
-        folder: The folder of the case, for `record.txt`.
+        record: What was sent, answered and run; the case closes it.
         settings: The server's settings.
         core_count: Cores of the worker pool.
         parts_of: See `WorkerPool`.
     """
 
     def __init__(
-        self, folder: Path, settings: dict[str, Any], core_count: int, parts_of: Callable[[Try], list[float]]
+        self, record: Record, settings: dict[str, Any], core_count: int, parts_of: Callable[[Try], list[float]]
     ) -> None:
-        self.record = Record(folder / "record.txt")
+        self.record = record
         self.world = World(self.record)
         self.pool = WorkerPool(self.world, core_count, parts_of)
         self.settings = settings
         self.directory = Directory()
         self.records_delay_ms = 10.0
+        self.is_reply_lost: Callable[[], bool] = lambda: False
         self._temporary = tempfile.TemporaryDirectory(prefix="review-")
 
     async def __aenter__(self) -> Rig:
@@ -579,6 +589,9 @@
                 body = (await reader.readexactly(int(head[3]) + 2))[:-2]
                 self.record.add("call", id=head[1].decode())
                 await asyncio.sleep(self.records_delay_ms / MS_PER_S)
+                if self.is_reply_lost():
+                    self.record.add("reply_lost", id=head[1].decode())
+                    continue
                 reply = b"found " + body
                 writer.write(b"%b DONE %d\r\n%b\r\n" % (head[1], len(reply), reply))
         writer.close()
@@ -588,5 +601,4 @@
         self.server.end()
         self.record.add("server_ended", code=self.server.process.returncode, by_itself=has_exited)
         await asyncio.sleep(SETTLE_S)  # the stand-ins' connections see the end
-        self.record.close()
         self._temporary.cleanup()
--- a/review/standins/sites.py
+++ b/review/standins/sites.py
@@ -117,3 +117,19 @@
         "zone": "riga-purvciems",
         "zones": ["riga-centrs", "riga-purvciems", "jelgava"],
     }
+
+
+def riga_payout_grown(dependency_share: float, is_cold: bool) -> dict[str, Any]:
+    """Return the settings of a payout node since the deployment has grown: 2 cores, a fleet of 20."""
+    settings = riga_payout_keyed(2, 20)
+    balance, payout = settings["classes"]
+    return {
+        **settings,
+        "classes": [balance, {**payout, "idempotency": "non_idempotent"}],
+        "specifics": {
+            **settings["specifics"],
+            "cold": is_cold,
+            "dep-share": dependency_share,
+            "memory-kb": 5812.0,
+        },
+    }
