Bound cost hints, so that one close to zero cannot turn an estimate into NaN

Cause: the decoder took any hint above 0, and ClassStatistics.record_completed_run recorded core time over hint, infinity here. The next sample made the long-term mean NaN for good, then expected_run_ms and the timeout of a call, which encode_call rounds inside a decision. A finite hint of 1e-6 spoilt the mean without a crash: requests that had to queue were rejected.

Change: a hint of a microsecond or less is refused as out of range; a sample of core time over hint is at most 100. The mean then has finite samples of bounded size, so it is finite whatever is sent.

--- a/nickelslip/admission/class_statistics.py
+++ b/nickelslip/admission/class_statistics.py
@@ -9,6 +9,8 @@
 MIN_RUN_MS = 1e-9  # avoids a division by zero
 INITIAL_RUN_FRACTION = 1 / 6  # of the latency objective: run time assumed until one was measured
 INITIAL_CALL_FRACTION = 1 / 32  # of the latency objective: duration assumed for a dependency call
+# Upper bound of a sample of a run's time over its hint. Otherwise one hint close to zero would determine the mean.
+MAX_RUN_MS_PER_HINTED_MS = 100.0
 # Starts are counted over several statistics windows, because a small server starts few requests of a class in one.
 START_COUNT_WINDOWS = 4.0
 
@@ -84,7 +86,7 @@
         """Record the core time, the time in calls and the cost hint of a run that has succeeded."""
         self.run_ms.record(now_ms, core_ms)
         if cost_hint_ms:
-            self.run_ms_per_hinted_ms.record(now_ms, core_ms / cost_hint_ms)
+            self.run_ms_per_hinted_ms.record(now_ms, min(core_ms / cost_hint_ms, MAX_RUN_MS_PER_HINTED_MS))
         self.time_in_calls_ms.record(now_ms, call_ms)
 
     def value_per_ms(self, run_ms: float) -> float:
--- a/nickelslip/server/request_decoder.py
+++ b/nickelslip/server/request_decoder.py
@@ -44,6 +44,7 @@
 HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
 MAX_TIMESTAMP_MS = 1e15
 MAX_DURATION_MS = 86_400_000.0  # one day
+MIN_COST_HINT_MS = 0.001  # exclusive; no run is shorter than a microsecond
 MAX_CLOCK_SKEW_MS = 1000.0  # a client's clock may be ahead of this server's by this much
 MAX_LEVEL = 1.0  # exclusive
 MIN_LEVEL = -1e-9  # exclusive, so that a level of 0 is allowed
@@ -239,5 +240,5 @@
 
 def _decode_time_limits(fields: Mapping[str, str]) -> TimeLimits:
     timeout_ms = _decode_number(fields, TIMEOUT_FIELD, 0.0, MAX_DURATION_MS)
-    cost_hint_ms = _decode_number(fields, COST_HINT_FIELD, 0.0, MAX_DURATION_MS)
+    cost_hint_ms = _decode_number(fields, COST_HINT_FIELD, MIN_COST_HINT_MS, MAX_DURATION_MS)
     return TimeLimits(timeout_ms, cost_hint_ms)
--- a/tests/server/test_requests_and_answers.py
+++ b/tests/server/test_requests_and_answers.py
@@ -136,6 +136,11 @@
         {"without": "owner"},
         {"timeout": -5},
         {"timeout": "nan"},
+        {"timeout": "1e9"},
+        {"ms": "1e-320"},  # review/1: it made a mean infinite, and the next sample made it NaN
+        {"ms": 0},
+        {"ms": "inf"},
+        {"ms": "1e9"},
         {"via": "x"},
         {"resent": 2},
         {"class_name": "unknown"},
--- a/tests/test_admission_controller.py
+++ b/tests/test_admission_controller.py
@@ -1,6 +1,7 @@
 """Tests of the admission controller: earlier failures, and rules that are easy to get wrong."""
 
 from dataclasses import replace
+from math import isfinite
 
 import pytest
 
@@ -143,6 +144,22 @@
     assert states(model.receive_request(1, READ, cost_hint_ms=5000.0)) == [(1, RequestState.RUNNING)]
 
 
+@pytest.mark.parametrize("cost_hint_ms", (1e-320, 1e-6))
+def test_a_cost_hint_close_to_zero_does_not_spoil_the_estimates_of_other_requests(cost_hint_ms):
+    """Guards against review/1: the mean accuracy of the hints became NaN, and a call's timeout could not be encoded."""
+    model = AdmissionModel()
+    model.receive_request(1, READ, cost_hint_ms=cost_hint_ms)
+    model.end_run(1)
+    for request_id in range(2, 22):
+        model.receive_request(request_id, READ, cost_hint_ms=10.0)
+        model.end_run(request_id, duration_ms=10.0)
+    for request_id in (22, 23, 24):
+        model.receive_request(request_id, READ, cost_hint_ms=10.0)
+    assert model.requests[24].stage is Stage.QUEUED
+    (change, *_) = model.request_call(22).state_changes
+    assert change.state is RequestState.CALL_IN_FLIGHT and isfinite(change.duration_ms)
+
+
 def test_durations_measured_under_load_do_not_keep_an_idle_server_rejecting():
     model = AdmissionModel(build_settings(dependency_concurrency_share=0.0))
     for request_id in range(1, 9):
