Bound the numbers in notifications of the worker pool

A run's duration was any JSON number (1e308 twice made a mean infinite, and the idle server rejected the class), a sequence number of any size was recorded (10^15: all later notifications pass for read; 10^30: no bind can hold it), and gauges and the age of the pool could be texts such as "nan".

Change: durations are at most the time since the run was started here; a sequence number over a million ahead is malformed; gauges, ages and durations are JSON numbers; the simulator's adapter takes finite numbers alone.

--- a/nickelslip/server/request_lifecycle.py
+++ b/nickelslip/server/request_lifecycle.py
@@ -97,12 +97,13 @@
     """Report the end of the run and answer with its result; the request of a stopped run is queued again."""
     if request.state is RequestState.CALL_IN_FLIGHT:
         actions.dependency_client.abandon_call(request)
+    took_ms = _possible_run_ms(actions, request, event)
     request.has_unfinished_run = False
     if event.outcome is Outcome.CANCELLED and request.state in (RequestState.RUNNING, RequestState.DEGRADED):
         request.enter(RequestState.QUEUED)
-        sink.run_ended(request, event.outcome, event.took_ms)
+        sink.run_ended(request, event.outcome, took_ms)
         return
-    sink.run_ended(request, event.outcome, event.took_ms)
+    sink.run_ended(request, event.outcome, took_ms)
     final_state = RequestState.COMPLETED if event.outcome is Outcome.OK else RequestState.FAILED
     request.answer(Answer(final_state, actions.advertised_weight, event.body))
     request.enter(final_state)
@@ -111,6 +112,13 @@
         actions.idempotency_table.forget(request)
 
 
+def _possible_run_ms(actions: RequestActions, request: Request, event: RunFinished) -> float:
+    """Return the duration that the worker pool reports, but at most the time since the run was started."""
+    if not request.has_unfinished_run:  # coalesced: this server has measured the time
+        return event.took_ms
+    return max(0.0, min(event.took_ms, actions.clock() - request.run_started_at_ms))
+
+
 def _handle_client_disconnected(actions: RequestActions, sink: RequestEventSink, request: Request) -> None:
     """Cancel the request, unless it is orphaned or in a final state."""
     if request.state is RequestState.ORPHANED or request.state in FINAL_STATES:
--- a/nickelslip/server/requests.py
+++ b/nickelslip/server/requests.py
@@ -108,6 +108,7 @@
         is_answered: Whether an answer has been written.
         is_client_disconnected: Whether the client cancelled the request or closed its connection.
         has_unfinished_run: Whether the worker pool has an unfinished run of it.
+        run_started_at_ms: When its run was last started.
         has_notification_since_last_command: Whether a notification of that run has arrived since it was last started
             or resumed.
         call_transports: The connections on which its calls were sent.
@@ -130,6 +131,7 @@
         self.is_answered = False
         self.is_client_disconnected = False
         self.has_unfinished_run = False
+        self.run_started_at_ms = 0.0
         self.has_notification_since_last_command = False
         self.call_transports: list[object] = []
         self.call = CallRequested(0, b"")
--- a/nickelslip/server/worker_pool_link.py
+++ b/nickelslip/server/worker_pool_link.py
@@ -45,6 +45,9 @@
     from nickelslip.server.interfaces import RunOwner
 
 LOGGED_LINE_BYTES = 100
+# A notification whose number is further ahead is malformed. Notifications missed while there was no link are far fewer,
+# because no run is started then.
+MAX_SEQ_GAP = 1_000_000
 
 
 class WorkerPoolLink:
@@ -173,9 +176,17 @@
             self._handle_run(fragment.notification)
 
     def _record_seq(self, seq: int) -> bool:
-        """Record the sequence number of a notification; return False if it was read before."""
+        """Record the sequence number of a notification; return False if it was read before or is too far ahead.
+
+        After a number too far ahead, all notifications that follow would count as read before.
+        """
         if seq <= self._last_seq:
             return False
+        if seq > self._last_seq + MAX_SEQ_GAP:
+            self._owner.log.error(
+                "malformed_notification", error="sequence number too far ahead", line=str(seq)[:LOGGED_LINE_BYTES]
+            )
+            return False
         if seq > self._last_seq + 1:
             self._owner.log.error("notifications_lost", after_seq=self._last_seq, before_seq=seq)
         self._last_seq = seq
--- a/nickelslip/server/worker_pool_protocol.py
+++ b/nickelslip/server/worker_pool_protocol.py
@@ -227,7 +227,7 @@
         if envelope.op == GAUGES_REPORTED_WORD:
             return GaugesReported(str(fields["tag"]), fields["values"])
         if envelope.op == BOUND_WORD:
-            return Bound(str(fields["end"]), float(fields["ms"]))
+            return Bound(str(fields["end"]), _decode_number(fields["ms"]))
         if envelope.op == COMMAND_NOT_EXECUTED_WORD:
             return CommandNotExecuted(str(fields["end"]), int(request_id, 16) if request_id else None)
         return None
@@ -255,7 +255,7 @@
     with _wrapping_field_errors():
         return Gauges(
             **{
-                GAUGE_FIELDS[name]: float(value)
+                GAUGE_FIELDS[name]: _decode_number(value)
                 for name, value in zip(names, values, strict=False)
                 if name in GAUGE_FIELDS and value is not None
             }
@@ -274,11 +274,24 @@
 
 def _decode_result(fields: dict[str, Any]) -> RunResult | None:
     outcome = RUN_OUTCOMES.get(str(fields.get("end")))
-    took_ms = fields.get("ms")
     body = _decode_body(fields)
-    if outcome is None or body is None or not isinstance(took_ms, int | float):
+    if outcome is None or body is None:
         return None
-    return RunResult(outcome, float(took_ms), body)
+    try:
+        return RunResult(outcome, _decode_number(fields.get("ms")), body)
+    except TypeError:
+        return None
+
+
+def _decode_number(value: Any) -> float:
+    """Return a JSON number, which is always finite.
+
+    Raises:
+        TypeError: The value is not a number. A string such as "nan" is none, although Python would convert it.
+    """
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise TypeError(f"not a number: {value!r}")
+    return float(value)
 
 
 def _decode_body(fields: dict[str, Any]) -> bytes | None:
--- a/nickelslip/simulator_adapter/adapter.py
+++ b/nickelslip/simulator_adapter/adapter.py
@@ -36,7 +36,7 @@
 def _run_ended(now_ms: float, values: list[str]) -> Event:
     request_id = int(values[0])
     outcome = codec.decode_outcome(values[1])
-    took_ms = float(values[2])
+    took_ms = codec.decode_number(values[2])
     return lambda controller: controller.run_ended(now_ms, request_id, outcome, took_ms)
 
 
@@ -48,7 +48,7 @@
 def _call_returned(now_ms: float, values: list[str]) -> Event:
     request_id = int(values[0])
     outcome = codec.decode_outcome(values[2])
-    took_ms = float(values[1])
+    took_ms = codec.decode_number(values[1])
     return lambda controller: controller.call_returned(now_ms, request_id, outcome, took_ms)
 
 
@@ -58,7 +58,7 @@
 
 
 def _drain(now_ms: float, values: list[str]) -> Event:
-    kill_at_ms = float(values[0])
+    kill_at_ms = codec.decode_number(values[0])
     return lambda controller: controller.drain(now_ms, kill_at_ms)
 
 
--- a/tests/support/fake_worker_pool.py
+++ b/tests/support/fake_worker_pool.py
@@ -21,6 +21,7 @@
         seq: The sequence number of the last notification.
         notifications: All notifications sent. After a bind, those later than the bind's number are sent again.
         accepts_binds: An event that a test sets to let the pool answer bind commands.
+        age_ms: How long ago the pool came up, as it answers bind commands.
         answers_gauge_queries: Whether gauge queries are answered.
         gauge_query_count: The number of gauge queries received.
     """
@@ -31,6 +32,7 @@
         self.seq = 0
         self.notifications: list[dict[str, object]] = []
         self.accepts_binds = anyio.Event()
+        self.age_ms = 5.0
         self.answers_gauge_queries = True
         self.gauge_query_count = 0
 
@@ -50,7 +52,7 @@
 
     async def _bind(self, last_seq: int) -> None:
         await self.accepts_binds.wait()
-        await self.send_line(op="bound", end="running", ms=5.0)
+        await self.send_line(op="bound", end="running", ms=self.age_ms)
         for notification in self.notifications:
             if notification["seq"] > last_seq:  # type: ignore[operator]
                 await self.send_line(**notification)
--- a/tests/test_simulator_adapter.py
+++ b/tests/test_simulator_adapter.py
@@ -85,6 +85,8 @@
         "FINISHED server/1 5",
         "RETURNED server/1 5 1.0 77",
         "DRAIN server/1 soon",
+        "DRAIN server/1 nan",
+        "FINISHED server/1 5 0 inf",
     ),
 )
 def test_a_malformed_line_is_reported_and_ends_the_adapter(line):
