Bound a request's deadline by the timeout of its class

Change: the deadline is at most the class's timeout after the arrival, so that what a request holds until then is bounded by the settings.

--- a/nickelslip/admission/tracked_request.py
+++ b/nickelslip/admission/tracked_request.py
@@ -37,9 +37,10 @@
 
     def __init__(self, arrival: Arrival, statistics: ClassStatistics, now_ms: float) -> None:
         received_at_ms = now_ms - arrival.read_delay_ms
-        deadline_at_ms = arrival.deadline_at_ms
-        if deadline_at_ms is None:
-            deadline_at_ms = received_at_ms + statistics.timeout_ms
+        deadline_at_ms = received_at_ms + statistics.timeout_ms
+        if arrival.deadline_at_ms is not None:
+            # What a request holds until its deadline is bounded by the settings, not by its client.
+            deadline_at_ms = min(arrival.deadline_at_ms, deadline_at_ms)
         self.id = arrival.id
         self.statistics = statistics
         self.memory_kb = arrival.memory_kb
--- a/tests/test_admission_controller.py
+++ b/tests/test_admission_controller.py
@@ -338,6 +338,26 @@
     ]
 
 
+DAY_MS = 86_400_000.0
+
+
+def test_a_client_timeout_longer_than_that_of_its_class_does_not_keep_a_record_longer():
+    """Guards against review/3: the records of requests with a timeout of a day filled the memory for a day."""
+    model = AdmissionModel()
+    model.receive_request(1, BOOK, timeout_ms=DAY_MS)
+    assert model.record_expires_at_ms[1] == BOOK.idempotency_window_ms
+
+
+def test_a_client_timeout_longer_than_that_of_its_class_does_not_hold_a_call_or_a_place_in_the_queue_longer():
+    """Guards against call slots and memory that are held for a day."""
+    model = AdmissionModel(build_settings(dependency_concurrency_share=0.0))
+    model.receive_request(1, PAY, timeout_ms=DAY_MS)
+    (change,) = model.request_call(1).state_changes
+    assert change.state is RequestState.CALL_IN_FLIGHT and change.duration_ms <= PAY.timeout_ms
+    model.advance(PAY.timeout_ms)
+    assert model.requests[1].answer_count == 1
+
+
 def test_a_lack_of_memory_rejects_the_queued_request_of_lowest_priority_weight():
     model = busy_model(memory_kb=400.0)
     for request_id, traffic_class, memory_kb in ((3, READ, 100.0), (4, PAY, 50.0), (5, PAY, 180.0)):
