Give back the record of a run that the worker pool never started

Cause: after unknown the server's table forgot the record of an idempotency key, but the controller was told an ordinary failure and counted the record until it expired. The memory was free on one side and taken on the other.

Change: unknown is reported as NOT_STARTED, and a run that ends with an outcome that proves that it was never started gives its record back.

--- a/nickelslip/admission/controller.py
+++ b/nickelslip/admission/controller.py
@@ -161,6 +161,8 @@
         if outcome is Outcome.OK and request.has_run and request.state is not RequestState.DEGRADED:
             core_ms = max(0.0, took_ms - request.time_in_calls_ms)
             request.statistics.record_completed_run(now_ms, core_ms, request.time_in_calls_ms, request.cost_hint_ms)
+        if outcome.proves_not_executed:  # a retry may run, so the record is not needed
+            self._idempotency_records.remove(request.id)
         state = STATE_AFTER_RUN.get(outcome, RequestState.CANCELLED)
         self._transition(now_ms, request, state, notify=False, has_run_ended=True)
         return self._apply_rules(now_ms)
--- a/nickelslip/server/close_reasons.py
+++ b/nickelslip/server/close_reasons.py
@@ -70,4 +70,4 @@
 MALFORMED_RESULT_OUTCOME = Outcome.ERROR  # the run has ended, but its result cannot be decoded
 UNREADABLE_CALL_OUTCOME = Outcome.REJECTED  # the call is not made because its body cannot be decoded
 NO_DESCRIPTOR_OUTCOME = Outcome.REJECTED  # the call is not made because no file descriptor is left for calls
-UNKNOWN_START_OUTCOME = Outcome.ERROR  # the worker pool has no record of the start: there is no run and no result
+UNKNOWN_START_OUTCOME = Outcome.NOT_STARTED  # the worker pool does not know the request
--- a/nickelslip/server/request_events.py
+++ b/nickelslip/server/request_events.py
@@ -35,16 +35,14 @@
     """The run of the request has ended, or the run of the original request that it is coalesced with.
 
     Attributes:
-        outcome: How it ended.
+        outcome: How it ended; NOT_STARTED if the worker pool reports that the run never started.
         took_ms: Duration of the run, calls included, or how long a coalesced request waited for its original.
         body: Result of the run.
-        ran: False if the worker pool reports that the run never started.
     """
 
     outcome: Outcome
     took_ms: float
     body: bytes = b""
-    ran: bool = True
 
 
 class ClientDisconnected(NamedTuple):
--- a/nickelslip/server/request_lifecycle.py
+++ b/nickelslip/server/request_lifecycle.py
@@ -108,8 +108,6 @@
     request.answer(Answer(final_state, actions.advertised_weight, event.body))
     request.enter(final_state)
     actions.idempotency_table.finish(request, event.outcome, event.body)
-    if not event.ran:
-        actions.idempotency_table.forget(request)
 
 
 def _possible_run_ms(actions: RequestActions, request: Request, event: RunFinished) -> float:
--- a/tests/server/test_idempotency.py
+++ b/tests/server/test_idempotency.py
@@ -59,3 +59,15 @@
             rig.server.idempotency_table.results.size_bytes == 8
             and rig.server.generation.settings.idempotency_record_kb >= 20
         )
+
+
+async def test_a_request_that_the_worker_pool_does_not_know_gives_back_the_memory_of_its_record():
+    """Guards against review/3: the table forgot such a request, and the controller counted its record all the same."""
+    async with ServerRig(**{"memory-kb": 2000.0, "kb-per-key": 500.0}) as rig:
+        client = await (await rig.wait_until_serving()).connect_client()
+        for number in range(6):
+            request_id = f"{number:016x}"
+            await rig.start_run(client, request_id, "book", opkey=f"k{number}")
+            await rig.pool.send_line(op="unknown", end="spawn", id=request_id)
+            assert (await client.receive_answer())[1] == "error"
+        await rig.start_run(client, A, "book", opkey="k0")
--- a/tests/test_admission_controller.py
+++ b/tests/test_admission_controller.py
@@ -358,6 +358,14 @@
     assert model.requests[1].answer_count == 1
 
 
+def test_a_run_that_was_never_started_gives_back_its_record():
+    """Guards against review/3: the records of runs that never were filled the memory."""
+    model = AdmissionModel()
+    model.receive_request(1, BOOK)
+    model.end_run(1, Outcome.NOT_STARTED)
+    assert model.record_expires_at_ms[1] == model.now_ms
+
+
 def test_a_lack_of_memory_rejects_the_queued_request_of_lowest_priority_weight():
     model = busy_model(memory_kb=400.0)
     for request_id, traffic_class, memory_kb in ((3, READ, 100.0), (4, PAY, 50.0), (5, PAY, 180.0)):
