Give back the record of a shared answer when its request ends without a result

A request without an idempotency key whose answer may be shared (fresh-ms above 0) has a record; the server's table drops it when the request ends without a result, while the controller counted it until its deadline and fresh-ms had passed.

Change: the controller removes such a record at the end of any request but a completed one. What holds for idempotency keys is unchanged and stands in one function now.

--- a/nickelslip/admission/controller.py
+++ b/nickelslip/admission/controller.py
@@ -53,8 +53,8 @@
 # A request that enters a final state from one of these has no active run and is removed at once. From any other state
 # it becomes ORPHANED until the server reports that its run has ended.
 STATES_WITHOUT_ACTIVE_RUN = (RequestState.QUEUED, RequestState.COALESCED, RequestState.PAUSED)
-# If a request ends in one of these states without having run, retries cannot take its result, so its idempotency
-# record is dropped.
+# If a request with an idempotency key ends in one of these states without having run, a retry may run, so its record is
+# dropped.
 STATES_RELEASING_RECORD = (RequestState.REJECTED, RequestState.CANCELLED)
 STATE_AFTER_RUN = {Outcome.OK: RequestState.COMPLETED, Outcome.ERROR: RequestState.FAILED}
 
@@ -472,9 +472,9 @@
             if is_final:
                 self._dependency_usage.record_abandoned(now_ms)
         del self._requests.by_state[previous][request.id]
-        if state in STATES_RELEASING_RECORD and request.statistics.needs_idempotency_record and not request.has_run:
-            self._idempotency_records.remove(request.id)
         if is_final and (has_run_ended or previous in STATES_WITHOUT_ACTIVE_RUN):
+            if _has_no_result_to_share(request, state):
+                self._idempotency_records.remove(request.id)
             del self._requests.by_id[request.id]
             return
         if previous is RequestState.QUEUED and state is RequestState.RUNNING:
@@ -487,3 +487,13 @@
         request.has_run = True
         request.statistics.record_start(now_ms)
         self._quotas.record_start(now_ms, request.tenant)
+
+
+def _has_no_result_to_share(request: TrackedRequest, final_state: RequestState) -> bool:
+    """Whether later requests need no record of this one, which has ended.
+
+    With an idempotency key the record also prevents a second run. Otherwise it only shares a result.
+    """
+    if request.statistics.needs_idempotency_record:
+        return final_state in STATES_RELEASING_RECORD and not request.has_run
+    return final_state is not RequestState.COMPLETED
--- a/tests/test_admission_controller.py
+++ b/tests/test_admission_controller.py
@@ -9,6 +9,8 @@
 from nickelslip.admission.interface import Gauges, LoadSignal, Outcome, Preemption, RequestState, RetrySafety, Tenant
 from tests.support.admission_model import BOOK, PAY, READ, AdmissionModel, Stage, build_settings
 
+RESPONSE_CACHE = build_settings(response_cache_ms=1000.0)
+
 
 def states(result):
     return [(change.id, change.state) for change in result.state_changes]
@@ -560,3 +562,22 @@
     for request_id in (1, 2, 3):
         model.receive_request(request_id, READ, timeout_ms=1500.0)
     assert not model.receive_request(4, READ, timeout_ms=900.0).state_changes
+
+
+@pytest.mark.parametrize("end", ("rejected", "cancelled", "failed run"))
+def test_a_request_without_an_idempotency_key_that_ends_without_a_result_gives_back_its_record(end):
+    """Guards against records that the server has dropped and the controller counts on until they expire."""
+    model = busy_model(response_cache_ms=1000.0) if end == "rejected" else AdmissionModel(RESPONSE_CACHE)
+    model.receive_request(3, READ, has_key=True, timeout_ms=1.0 if end == "rejected" else None)
+    if end == "cancelled":
+        model.disconnect_client(3)
+    if end != "rejected":
+        model.end_run(3, Outcome.ERROR if end == "failed run" else Outcome.CANCELLED)
+    assert model.requests[3].stage is Stage.ENDED and model.record_expires_at_ms[3] == model.now_ms
+
+
+def test_a_shared_answer_keeps_its_record():
+    model = AdmissionModel(RESPONSE_CACHE)
+    model.receive_request(1, READ, has_key=True)
+    model.end_run(1)
+    assert model.record_expires_at_ms[1] > model.now_ms
