Forget an unconfirmed run that the worker pool does not know

A run whose last command may be lost with a link is kept until a notification of it arrives; unknown, which settles it too, did not count as one, so that its request stayed in memory for good and was carried to each later link.

Change: unknown settles the run.

--- a/nickelslip/server/command_delivery.py
+++ b/nickelslip/server/command_delivery.py
@@ -182,7 +182,7 @@
         return commands
 
     def run_confirmed(self, request: Request) -> None:
-        """Record that a notification of this run has arrived, which confirms the run."""
+        """Record that a notification of this run has arrived, which settles whether the run exists."""
         self._unconfirmed_runs.pop(request, None)
 
     def record_stop(self, request: Request) -> bool:
--- a/nickelslip/server/worker_pool_link.py
+++ b/nickelslip/server/worker_pool_link.py
@@ -257,4 +257,5 @@
             request = self._owner.requests.get(notification.request_number)
         self._owner.log.warning("command_not_executed", command=notification.command_word, is_known=request is not None)
         if request is not None and notification.command_word == START_WORD:
+            self._delivery.run_confirmed(request)
             request.deliver(RunFinished(UNKNOWN_START_OUTCOME, 0.0))
--- a/tests/server/test_worker_pool_link.py
+++ b/tests/server/test_worker_pool_link.py
@@ -1,6 +1,8 @@
 """The link to the worker pool when it breaks, moves to a new address, comes up late or does not respond."""
 
+import gc
 import time
+import weakref
 
 import anyio
 import pytest
@@ -293,3 +295,24 @@
         assert await other.is_closed_by_server()
         await rig.pool.finish(A)
         assert (await client.receive_answer())[:2] == (1, "done") and rig.pool.connection_count == 1
+
+
+async def test_an_unconfirmed_run_that_the_worker_pool_does_not_know_is_not_kept():
+    """Guards against requests that stay in memory for good after their link broke."""
+    async with ServerRig() as rig:
+        client = await (await rig.wait_until_serving()).connect_client()
+        rig.pool.answers_gauge_queries = False  # so that the start is not confirmed
+        await rig.start_run(client, A, "pay")
+        request = weakref.ref(rig.server.requests[int(A, 16)])
+        rig.pool.answers_gauge_queries = True
+        await rig.pool.abort_connections()
+        await wait_until(lambda: len(rig.pool.received_binds()) == 2)
+        await wait_until(lambda: rig.server.worker_pool.is_up)
+        await rig.pool.send_line(op="unknown", end="spawn", id=A)
+        assert (await client.receive_answer())[:2] == (1, "error")
+        await wait_until(lambda: not rig.server.requests)
+        await rig.start_run(client, B)
+        await rig.pool.finish(B)
+        assert (await client.receive_answer())[:2] == (2, "done")
+        gc.collect()
+        assert request() is None
