--- a/nickelslip/server/decision_executor.py
+++ b/nickelslip/server/decision_executor.py
@@ -20,10 +20,10 @@
     StateChange,
 )
 from nickelslip.server.advertised_state import AdvertisedState
-from nickelslip.server.control_timer import WakeSchedule
 from nickelslip.server.lifecycle import Lifecycle
 from nickelslip.server.requests import fail_requests
 from nickelslip.server.state_changes import execute_state_change
+from nickelslip.server.wake_schedule import WakeSchedule
 
 if TYPE_CHECKING:  # types only; importing them would slow down the startup
     from nickelslip.server.interfaces import DecisionContext
--- a/nickelslip/server/load_balancer_connection.py
+++ b/nickelslip/server/load_balancer_connection.py
@@ -11,7 +11,7 @@
 
 import socket
 from math import inf
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import anyio
 
@@ -23,7 +23,6 @@
 
 if TYPE_CHECKING:  # avoids imports at startup
     from nickelslip.server.connection_log import ConnectionLog
-    from nickelslip.server.connection_table import ConnectionTable
     from nickelslip.server.interfaces import RequestHandler
 
 MAX_BACKLOG_BYTES = 64 * 1024  # reading pauses while more answers than this are unsent
@@ -35,12 +34,31 @@
 PEER_GONE_REASONS = (CloseReason.CLOSED, CloseReason.RESET)  # the peer can no longer read an answer
 
 
+class ConnectionRegistry(Protocol):
+    """Keeps track of the states of all connections that count towards its limits."""
+
+    def note_valid_message(self, connection: LoadBalancerConnection) -> None:
+        """Record that a valid message was received."""
+
+    def mark_lingering(self, connection: LoadBalancerConnection) -> None:
+        """Record that a lingering close has begun."""
+
+    def is_slow_writer(self, connection: LoadBalancerConnection) -> bool:
+        """Whether the connection's current message may take as long as the longest client timeout."""
+
+    def admit_slow_writer(self, connection: LoadBalancerConnection) -> bool:
+        """Decide whether a message that missed its time limit may take as long as the longest client timeout."""
+
+    def remove_slow_writer(self, connection: LoadBalancerConnection) -> None:
+        """Apply the ordinary time limit again, after the slow message is complete."""
+
+
 class LoadBalancerConnection:
     """One accepted connection.
 
     Args:
         server: Receives decoded requests.
-        table: The table of all connections, including this one.
+        registry: Keeps track of all connections, including this one.
         log: Logs malformed requests and the reason for closing.
         sock: The accepted socket.
 
@@ -53,9 +71,11 @@
         close_began_at_ms: When this side began a lingering close, or None.
     """
 
-    def __init__(self, server: RequestHandler, table: ConnectionTable, log: ConnectionLog, sock: socket.socket) -> None:
+    def __init__(
+        self, server: RequestHandler, registry: ConnectionRegistry, log: ConnectionLog, sock: socket.socket
+    ) -> None:
         self._server = server
-        self._table = table
+        self._registry = registry
         self._log = log
         self.stream = Stream(
             sock, server.buffers, server.task_group, server.generation.longest_timeout_ms, MAX_BACKLOG_BYTES
@@ -101,12 +121,12 @@
     async def _receive(self) -> None:
         """Wait until more bytes are received.
 
-        If the current message stalls, return if the table admits its sender as a slow writer, and raise otherwise.
+        If the current message stalls, return if the registry admits its sender as a slow writer, and raise otherwise.
         """
         try:
             await self.stream.fill(self._remaining_ms())
         except ConnectionClosedError as closed:
-            if closed.reason is not CloseReason.STALLED or not self._table.admit_slow_writer(self):
+            if closed.reason is not CloseReason.STALLED or not self._registry.admit_slow_writer(self):
                 raise
 
     def _remaining_ms(self) -> float:
@@ -119,7 +139,7 @@
         return self.last_used_at_ms + FIRST_BYTE_TIMEOUT_MS - now_ms
 
     def _message_timeout_ms(self) -> float:
-        if self._table.is_slow_writer(self):
+        if self._registry.is_slow_writer(self):
             return self._server.generation.longest_timeout_ms
         return MESSAGE_TIMEOUT_MS
 
@@ -133,7 +153,7 @@
                 return
             self._note_used()
             self._message_began_at_ms = None
-            self._table.remove_slow_writer(self)
+            self._registry.remove_slow_writer(self)
             self.requests.handle_message(parts)
 
     def _next_message(self, data: bytearray) -> list[bytes] | None:
@@ -158,7 +178,7 @@
 
     def _note_valid_message(self) -> None:
         self.has_sent_valid_message = True
-        self._table.note_valid_message(self)
+        self._registry.note_valid_message(self)
 
     @property
     def is_idle(self) -> bool:
@@ -197,7 +217,7 @@
         await self._wait_until_sent()
         if self.close_began_at_ms is None:
             self.close_began_at_ms = self._server.clock()
-            self._table.mark_lingering(self)
+            self._registry.mark_lingering(self)
         await self.stream.linger()
 
     async def _wait_until_sent(self) -> None:
--- a/nickelslip/server/server.py
+++ b/nickelslip/server/server.py
@@ -20,7 +20,7 @@
 from nickelslip.server.advertised_state import AdvertisedState
 from nickelslip.server.buffer_pool import BUFFER_BYTES, BufferPool
 from nickelslip.server.call_limit import CallLimit, dependency_share_of
-from nickelslip.server.control_timer import ControlTimer, WakeSchedule
+from nickelslip.server.control_timer import ControlTimer
 from nickelslip.server.decision_executor import DecisionExecutor
 from nickelslip.server.directory_reporter import DirectoryReporter
 from nickelslip.server.generation_adopter import GenerationAdopter
@@ -34,6 +34,7 @@
 from nickelslip.server.request_reports import RequestReports
 from nickelslip.server.requests import Request, fail_requests
 from nickelslip.server.signals import SignalHandler
+from nickelslip.server.wake_schedule import WakeSchedule
 from nickelslip.server.worker_pool_link import WorkerPoolLink
 from nickelslip.startup.slow_start import SlowStart
 
