--- a/nickelslip/server/command_delivery.py
+++ b/nickelslip/server/command_delivery.py
@@ -16,7 +16,7 @@
 
 from nickelslip.admission.interface import FINAL_STATES, RequestState, RetrySafety
 from nickelslip.server.requests import Request
-from nickelslip.server.worker_pool_protocol import (
+from nickelslip.server.worker_pool_commands import (
     QueryGauges,
     ResumeWithoutCall,
     ResumeWithReply,
--- a/nickelslip/server/worker_pool_connection.py
+++ b/nickelslip/server/worker_pool_connection.py
@@ -14,8 +14,9 @@
 from nickelslip.configuration.config import Address
 from nickelslip.server.close_reasons import CloseReason, ConnectionClosedError
 from nickelslip.server.connector import connect
+from nickelslip.server.line_reader import Line, LineReader
 from nickelslip.server.streams import Stream
-from nickelslip.server.worker_pool_protocol import Bind, Line, LineReader, encode_command
+from nickelslip.server.worker_pool_commands import Bind, encode_command
 from nickelslip.startup.backoff import Backoff
 
 if TYPE_CHECKING:  # avoids imports at startup
--- a/nickelslip/server/worker_pool_link.py
+++ b/nickelslip/server/worker_pool_link.py
@@ -1,7 +1,7 @@
 """The link to the worker pool: sends commands and handles notifications.
 
-worker_pool_connection.py maintains the connection, worker_pool_protocol.py encodes and decodes the lines, and
-command_delivery.py decides which commands may be resent after a connection was lost.
+worker_pool_connection.py maintains the connection. worker_pool_commands.py and worker_pool_notifications.py encode and
+decode the lines. command_delivery.py decides which commands may be resent after a connection was lost.
 """
 
 from __future__ import annotations
@@ -12,33 +12,35 @@
 from nickelslip.admission.interface import Gauges, Outcome, Preemption
 from nickelslip.server.close_reasons import MALFORMED_RESULT_OUTCOME, UNKNOWN_START_OUTCOME
 from nickelslip.server.command_delivery import CommandDelivery
+from nickelslip.server.line_reader import Line
 from nickelslip.server.request_events import CallRequested, RunFinished
 from nickelslip.server.requests import Request
-from nickelslip.server.worker_pool_connection import WorkerPoolConnection
-from nickelslip.server.worker_pool_protocol import (
+from nickelslip.server.worker_pool_commands import (
     START_WORD,
+    QueryGauges,
+    ResumeWithoutCall,
+    ResumeWithReply,
+    RunCommand,
+    StartRun,
+    StopRun,
+    encode_command,
+)
+from nickelslip.server.worker_pool_connection import WorkerPoolConnection
+from nickelslip.server.worker_pool_notifications import (
     Bound,
     CallReached,
     CommandNotExecuted,
     GaugesReported,
-    Line,
     MalformedNotificationError,
     Notification,
-    QueryGauges,
-    ResumeWithoutCall,
-    ResumeWithReply,
-    RunCommand,
     RunEnded,
     RunNotification,
     RunResult,
-    StartRun,
-    StopRun,
     UnknownRunNotification,
     decode_envelope,
     decode_fragment,
     decode_gauges,
     decode_notification,
-    encode_command,
 )
 
 if TYPE_CHECKING:  # avoids imports at startup
--- a/nickelslip/server/worker_pool_protocol.py
+++ b/nickelslip/server/worker_pool_notifications.py
@@ -1,32 +1,20 @@
-"""The protocol of the worker pool: commands and notifications as JSON objects, one per line.
+"""The notifications from the worker pool, decoded from JSON objects, one per line.
 
-Encodes typed commands and decodes typed notifications. Only this module knows the words of the protocol.
+`worker_pool_commands` has the other direction of the protocol.
 """
 
 from __future__ import annotations
 
 import re
-from base64 import b64decode, b64encode
+from base64 import b64decode
 from collections.abc import Iterator, Sequence
 from contextlib import contextmanager
-from typing import TYPE_CHECKING, Any, NamedTuple
+from typing import Any, NamedTuple
 
 import orjson
 
 from nickelslip.admission.interface import Gauges, Outcome
-from nickelslip.server.buffer_pool import BUFFER_BYTES
 from nickelslip.server.close_reasons import RUN_OUTCOMES
-from nickelslip.server.streams import Stream
-
-if TYPE_CHECKING:
-    from nickelslip.server.requests import Request
-
-START_WORD = "spawn"
-STOP_WORD = "suspend"
-RESUME_WITH_REPLY_WORD = "supply"
-RESUME_WITHOUT_CALL_WORD = "pass"
-QUERY_GAUGES_WORD = "poll"
-BIND_WORD = "bind"
 
 RUN_ENDED_WORD = "finished"
 CALL_REACHED_WORD = "blocked"
@@ -49,77 +37,6 @@
     """A line, or one of its fields, is not a valid notification."""
 
 
-# Commands to the worker pool
-
-
-class StartRun(NamedTuple):
-    """Start a run of the request."""
-
-    request: Request
-
-
-class StopRun(NamedTuple):
-    """Stop the request's run, which is running on a core."""
-
-    request: Request
-
-
-class ResumeWithReply(NamedTuple):
-    """Resume the request's run with the reply to its call."""
-
-    request: Request
-    body: bytes
-
-
-class ResumeWithoutCall(NamedTuple):
-    """Resume the request's run without the call that was reported by the notification numbered `call_seq`."""
-
-    request: Request
-    call_seq: int
-
-
-class QueryGauges(NamedTuple):
-    """Query the gauges. The answer carries the tag, and confirms all commands written before the query."""
-
-    tag: str
-
-
-class Bind(NamedTuple):
-    """Bind the link, and request all notifications after `last_seq`."""
-
-    last_seq: int
-
-
-RunCommand = StartRun | StopRun | ResumeWithReply | ResumeWithoutCall
-Command = RunCommand | QueryGauges | Bind
-
-
-def encode_command(command: Command) -> bytes:
-    """Encode the command as a line."""
-    return orjson.dumps(_command_fields(command), option=orjson.OPT_APPEND_NEWLINE)
-
-
-def _command_fields(command: Command) -> dict[str, Any]:
-    match command:
-        case StartRun(request):
-            received = request.received
-            body_text = b64encode(received.body).decode()
-            return {"op": START_WORD, "id": received.id_hex, "class": received.traffic_class, "body": body_text}
-        case StopRun(request):
-            return {"op": STOP_WORD, "id": request.received.id_hex}
-        case ResumeWithReply(request, body):
-            return {"op": RESUME_WITH_REPLY_WORD, "id": request.received.id_hex, "body": b64encode(body).decode()}
-        case ResumeWithoutCall(request, call_seq):
-            return {"op": RESUME_WITHOUT_CALL_WORD, "id": request.received.id_hex, "seq": call_seq}
-        case QueryGauges(tag):
-            return {"op": QUERY_GAUGES_WORD, "tag": tag}
-        case Bind(last_seq):
-            return {"op": BIND_WORD, "seq": last_seq}
-
-
-# Notifications from the worker pool
-
-
 class RunResult(NamedTuple):
     """The outcome, duration and result body of a run."""
 
@@ -302,37 +219,3 @@
         return b64decode(fields["body"] or "", validate=True)
     except (ValueError, TypeError):
         return None
-
-
-# Splitting received data into lines
-
-
-class Line(NamedTuple):
-    """A line without its line end, or the beginning of a line that is longer than a buffer."""
-
-    data: bytes
-    is_truncated: bool
-
-
-class LineReader:
-    """Splits the received data of a stream into lines, truncating lines that are longer than a buffer."""
-
-    def __init__(self, stream: Stream) -> None:
-        self._stream = stream
-        self._head = b""  # beginning of a line that is longer than a buffer
-
-    def next_line(self) -> Line | None:
-        """Return the next complete line, or None if more data must be received first."""
-        stream = self._stream
-        while stream.data is not None:
-            newline = stream.data.find(b"\n", stream.start, stream.end)
-            if newline >= 0:
-                line = Line(self._head or bytes(stream.data[stream.start : newline]), bool(self._head))
-                self._head = b""
-                stream.consume(newline + 1)
-                return line
-            if stream.end - stream.start < BUFFER_BYTES:
-                return None
-            self._head = self._head or bytes(stream.data[stream.start : stream.end])
-            stream.consume(stream.end)
-        return None
--- a/tests/server/test_worker_pool_numbers.py
+++ b/tests/server/test_worker_pool_numbers.py
@@ -5,7 +5,7 @@
 
 from nickelslip.admission.interface import RequestState
 from nickelslip.server.lifecycle import Phase
-from nickelslip.server.worker_pool_protocol import (
+from nickelslip.server.worker_pool_notifications import (
     MalformedNotificationError,
     decode_envelope,
     decode_gauges,
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -15,8 +15,8 @@
 from nickelslip.admission.interface import RequestState, RetrySafety
 from nickelslip.server.close_reasons import CloseReason
 from nickelslip.server.command_delivery import ResendDecision, resend_decision
+from nickelslip.server.worker_pool_commands import ResumeWithoutCall, ResumeWithReply, StartRun
 from nickelslip.server.worker_pool_connection import LinkState
-from nickelslip.server.worker_pool_protocol import ResumeWithoutCall, ResumeWithReply, StartRun
 from tests.support.request_ids import A, B
 from tests.support.server_rig import ServerRig
 from tests.support.waiting import wait_until
