--- a/nickelslip/admission/controller.py
+++ b/nickelslip/admission/controller.py
@@ -45,6 +45,7 @@
 from nickelslip.admission.memory_budget import MemoryBudget
 from nickelslip.admission.overload_concurrency import OverloadConcurrency
 from nickelslip.admission.queue_priority import QueuePriority
+from nickelslip.admission.record_retention import RecordRetention
 from nickelslip.admission.retry_after import RetryAfter
 from nickelslip.admission.starved_classes import StarvedClasses
 from nickelslip.admission.tenant_quotas import TenantQuotas
@@ -53,9 +54,6 @@
 # A request that enters a final state from one of these has no active run and is removed at once. From any other state
 # it becomes ORPHANED until the server reports that its run has ended.
 STATES_WITHOUT_ACTIVE_RUN = (RequestState.QUEUED, RequestState.COALESCED, RequestState.PAUSED)
-# If a request with an idempotency key ends in one of these states without having run, a retry may run, so its record is
-# dropped.
-STATES_RELEASING_RECORD = (RequestState.REJECTED, RequestState.CANCELLED)
 STATE_AFTER_RUN = {Outcome.OK: RequestState.COMPLETED, Outcome.ERROR: RequestState.FAILED}
 
 STATISTICS_WINDOW_PER_OBJECTIVE = 2.0  # window of the recent means, as a multiple of the longest latency objective
@@ -88,6 +86,7 @@
         self._starved_classes = StarvedClasses(settings)
         self._priority = QueuePriority(settings, self._window_ms, self._quotas, self._starved_classes)
         self._memory = MemoryBudget(settings, self._requests, self._idempotency_records)
+        self._records = RecordRetention(settings, self._idempotency_records, self._memory)
         self._dispatcher = Dispatcher(settings, self._requests, self._memory)
         self._dependency_usage = DependencyUsage(settings, self._window_ms, now_ms)
         self._dependency_limit = DependencyLimit(settings, self._window_ms, self._overload, now_ms)
@@ -112,7 +111,6 @@
                 statistics.inherit(previous[traffic_class.name])
             self._classes[traffic_class.name] = statistics
         self._can_stop_runs = settings.preemption is not Preemption.NEVER
-        self._response_cache_ms = settings.response_cache_ms
         self._health_check_costs_work = settings.health_check_costs_work
 
     def start(self, now_ms: float) -> Decisions:
@@ -161,8 +159,8 @@
         if outcome is Outcome.OK and request.has_run and request.state is not RequestState.DEGRADED:
             core_ms = max(0.0, took_ms - request.time_in_calls_ms)
             request.statistics.record_completed_run(now_ms, core_ms, request.time_in_calls_ms, request.cost_hint_ms)
-        if outcome.proves_not_executed:  # a retry may run, so the record is not needed
-            self._idempotency_records.remove(request.id)
+        if outcome.proves_not_executed:
+            self._records.run_not_started(request)
         state = STATE_AFTER_RUN.get(outcome, RequestState.CANCELLED)
         self._transition(now_ms, request, state, notify=False, has_run_ended=True)
         return self._apply_rules(now_ms)
@@ -227,6 +225,7 @@
             self._starved_classes,
             self._priority,
             self._memory,
+            self._records,
             self._dispatcher,
             self._dependency_usage,
             self._idle_connections,
@@ -342,32 +341,6 @@
         has_others_queued = len(self._requests.queued) > 1
         return has_others_queued or self._requests.on_core_count() >= self._concurrency.limit
 
-    def _should_coalesce(self, request: TrackedRequest, arrival: Arrival) -> bool:
-        """Whether the request takes the result of another one, which may not have finished yet."""
-        if arrival.original_request_id is None:
-            return False
-        if request.statistics.needs_idempotency_record:
-            return True
-        return request.statistics.is_idempotent and self._response_cache_ms > 0
-
-    def _ensure_idempotency_record(self, now_ms: float, request: TrackedRequest, arrival: Arrival) -> bool:
-        """Record the request under its key. Return False if it must not run because the record does not fit."""
-        statistics = request.statistics
-        time_to_deadline_ms = request.deadline_at_ms - now_ms
-        if statistics.needs_idempotency_record:
-            return self._add_record_if_it_fits(
-                now_ms, request, max(statistics.idempotency_window_ms, time_to_deadline_ms)
-            )
-        if self._response_cache_ms > 0 and arrival.has_key and statistics.is_idempotent:
-            self._add_record_if_it_fits(now_ms, request, time_to_deadline_ms + self._response_cache_ms)
-        return True
-
-    def _add_record_if_it_fits(self, now_ms: float, request: TrackedRequest, retention_ms: float) -> bool:
-        if not self._memory.has_room_for_record():
-            return False
-        self._idempotency_records.add(now_ms, request.id, retention_ms)
-        return True
-
     def _admit(
         self, now_ms: float, request: TrackedRequest, arrival: Arrival, has_to_queue: bool, age_ms: float
     ) -> None:
@@ -376,10 +349,10 @@
         These rules reject it, in this order: it needs an idempotency record that does not fit into memory; it has to
         queue and its tenant is over its quota; it is predicted to be answered too late to be useful.
         """
-        if self._should_coalesce(request, arrival):
+        if self._records.should_coalesce(request, arrival):
             self._transition(now_ms, request, RequestState.COALESCED)
             return
-        if not self._ensure_idempotency_record(now_ms, request, arrival):
+        if not self._records.record_arrival(now_ms, request, arrival):
             self._reject(now_ms, request)
             return
         if has_to_queue and request.within_quota_fraction < 1:  # other servers enforce the quota, too
@@ -473,8 +446,7 @@
                 self._dependency_usage.record_abandoned(now_ms)
         del self._requests.by_state[previous][request.id]
         if is_final and (has_run_ended or previous in STATES_WITHOUT_ACTIVE_RUN):
-            if _has_no_result_to_share(request, state):
-                self._idempotency_records.remove(request.id)
+            self._records.request_ended(request, state)
             del self._requests.by_id[request.id]
             return
         if previous is RequestState.QUEUED and state is RequestState.RUNNING:
@@ -487,13 +459,3 @@
         request.has_run = True
         request.statistics.record_start(now_ms)
         self._quotas.record_start(now_ms, request.tenant)
-
-
-def _has_no_result_to_share(request: TrackedRequest, final_state: RequestState) -> bool:
-    """Whether later requests need no record of this one, which has ended.
-
-    With an idempotency key the record also prevents a second run. Otherwise it only shares a result.
-    """
-    if request.statistics.needs_idempotency_record:
-        return final_state in STATES_RELEASING_RECORD and not request.has_run
-    return final_state is not RequestState.COMPLETED
