--- a/nickelslip/configuration/config.py
+++ b/nickelslip/configuration/config.py
@@ -14,13 +14,13 @@
 from typing import Any
 
 from nickelslip.admission.interface import Settings
+from nickelslip.configuration.descriptors import MIN_DESCRIPTORS
 from nickelslip.json_fields import JsonFields, MalformedSettingsError
 from nickelslip.settings import decode_gauge_names, decode_settings
 
 Address = tuple[str, int]
 PLACEHOLDER_ADDRESS: Address = ("", 0)  # replaces an invalid address while further faults are collected
 MAX_PORT = 65535
-MIN_DESCRIPTORS = 32
 # Prefix of the environment variables that each override one value, such as NICKELSLIP_SET_MACHINE__CORES
 OVERRIDE_PREFIX = "NICKELSLIP_SET_"
 NAME_VARIABLE = "ROUTER_NAME"
--- a/nickelslip/configuration/descriptors.py
+++ b/nickelslip/configuration/descriptors.py
@@ -12,6 +12,7 @@
 RESERVED_DESCRIPTORS = 24  # standard streams, event loop, listener, up to three worker pool links, load report, a file
 CONTROL_DESCRIPTORS = 12  # if changes are accepted: control socket, its clients, history
 MIN_SHARED_DESCRIPTORS = 8
+MIN_DESCRIPTORS = RESERVED_DESCRIPTORS + MIN_SHARED_DESCRIPTORS
 IDLE_CALL_CONNECTIONS = 16  # idle connections for dependency calls, besides those in use
 CALL_CONNECTION_DIVISOR = 5  # at most one fifth of the shared descriptors is for dependency calls
 CONNECTIONS_PER_CALL = 2
--- a/nickelslip/configuration/schema.py
+++ b/nickelslip/configuration/schema.py
@@ -12,10 +12,11 @@
 from math import inf
 from typing import Any
 
+from nickelslip.configuration.descriptors import MIN_DESCRIPTORS
+
 SCHEMA_VERSION = 1  # documents of a later version are rejected
 
 MAX_DURATION_MS = 86_400_000.0  # one day
-MIN_DESCRIPTORS = 32
 
 
 class Effect(Enum):
--- a/nickelslip/settings.py
+++ b/nickelslip/settings.py
@@ -28,7 +28,7 @@
     "tokens": LoadSignal.CLIENT_CONCURRENCY,
     "min_rank": LoadSignal.PRIORITY_THRESHOLD,
 }
-VALUE_COUNTS_WORK = {"work": True, "request": False}
+IS_VALUE_PER_WORK_UNIT = {"work": True, "request": False}
 
 # What runs call: a shared dependency, a lower tier of servers, or nothing.
 SHARED_DEPENDENCY = "common"
@@ -92,7 +92,7 @@
         client_count=machine.integer("callers", 1, 0) or 1,
         tenants=_decode_tenants(top),
         over_quota_value_fraction=top.number("over-share-worth", 1.0),
-        is_value_per_work_unit=top.choice("counted-by", VALUE_COUNTS_WORK, "request"),
+        is_value_per_work_unit=top.choice("counted-by", IS_VALUE_PER_WORK_UNIT, "request"),
         clients_mark_retries=habits.boolean("marks-retry"),
         preemption=machine.choice("stop-mode", PREEMPTION, "silent"),
         load_signal=machine.choice("say", LOAD_SIGNALS, "silent"),
