--- a/benchmarks/capacity/in_process.py
+++ b/benchmarks/capacity/in_process.py
@@ -20,7 +20,8 @@
 from nickelslip.admission.controller import AdmissionController
 from nickelslip.admission.estimators import SlidingWindowSum
 from nickelslip.admission.interface import Arrival, Outcome, RequestState, Settings
-from nickelslip.configuration.change_manager import MAX_RECORDS_IN_MEMORY, ChangeManager
+from nickelslip.configuration.change_manager import ChangeManager
+from nickelslip.configuration.change_records import MAX_RECORDS_IN_MEMORY
 from nickelslip.configuration.document import Document, DocumentChecker
 from nickelslip.configuration.document_conversion import config_from
 from nickelslip.configuration.document_reader import complete
--- a/nickelslip/configuration/change_manager.py
+++ b/nickelslip/configuration/change_manager.py
@@ -23,27 +23,19 @@
     ConfigurationChange,
     RejectionReason,
 )
-from nickelslip.configuration.config import ChangeRules, Config, with_new_peer_addresses
+from nickelslip.configuration.change_records import ChangeRecords
+from nickelslip.configuration.config import ChangeRules, Config
 from nickelslip.configuration.document import Document
+from nickelslip.configuration.generation_snapshot import GenerationSnapshot, with_peer_addresses_of
 from nickelslip.configuration.generations import Generation, digest_of
 from nickelslip.configuration.history import HistoryEvent, HistoryRecord
 from nickelslip.configuration.plan import plan_of
 from nickelslip.configuration.rolled_back_documents import RolledBackDocuments
 
-MAX_RECORDS_IN_MEMORY = 256
 MAX_CONFIRMED_GENERATIONS = 8  # kept so that an operator can return to an earlier one
 MAX_DIFFERENCES_IN_MESSAGE = 5
 
 
-@dataclass(frozen=True)
-class GenerationSnapshot:
-    """A generation with the document it was created from."""
-
-    generation: Generation
-    document: Document
-    digest: str
-
-
 class StartedChange(NamedTuple):
     """A change that is being applied, and the history record to write before its generation is adopted."""
 
@@ -91,8 +83,7 @@
         in_force: The generation in force.
         staged: The staged change.
         current: The change being applied or in its canary period.
-        file_digest: The digest of the document in the configuration files, stored with each record.
-        records: The latest records of the history.
+        records: The latest records of the history, and the digest of the files that is stored with each.
     """
 
     def __init__(
@@ -108,11 +99,9 @@
         self.in_force = initial_snapshot
         self.staged: ConfigurationChange | None = None
         self.current: ConfigurationChange | None = None
-        self.file_digest = file_digest
-        self.records: deque[HistoryRecord] = deque(records, MAX_RECORDS_IN_MEMORY)
+        self.records = ChangeRecords(records, file_digest)
         self._rolled_back_documents = RolledBackDocuments()
         self._on_transition = on_transition
-        self._last_sequence_number = records[-1].sequence_number if records else 0
         self._last_generation_number = max([generation.number, *(record.generation for record in records)])
         self._last_change_number = 0
         for record in records:
@@ -223,7 +212,7 @@
         self.current = change
         change.generation = self._next_generation(change.config, change.origin, now_ms)
         self._enter(change, ChangeState.APPLYING, now_ms)
-        record = self._record_change(HistoryEvent.APPLIED, change, now_ms, document=change.document)
+        record = self.records.add_change(HistoryEvent.APPLIED, change, now_ms, document=change.document)
         return StartedChange(change, record)
 
     def _staged_change(self, number: int | None) -> ConfigurationChange:
@@ -255,7 +244,7 @@
         change = self._require_current(ChangeState.APPLYING)
         self.current = None
         self._enter(change, ChangeState.ROLLED_BACK, now_ms, reason)
-        return self._record_change(HistoryEvent.REJECTED, change, now_ms, reason)
+        return self.records.add_change(HistoryEvent.REJECTED, change, now_ms, reason)
 
     @property
     def is_in_canary_period(self) -> bool:
@@ -298,7 +287,7 @@
         self._confirmed_snapshots.append(self.in_force)
         self._enter(change, ChangeState.CONFIRMED, now_ms, reason)
         # The change's own document may be out of date: peer addresses can change during the canary period.
-        return self._record_change(HistoryEvent.CONFIRMED, change, now_ms, reason, self.in_force.document)
+        return self.records.add_change(HistoryEvent.CONFIRMED, change, now_ms, reason, self.in_force.document)
 
     def roll_back(self, now_ms: float, reason: str) -> Adoption:
         """Roll back the change in its canary period, and reject its document for a time.
@@ -315,7 +304,7 @@
         self.in_force = self._confirmed_snapshots[-1]
         self._rolled_back_documents.add(change.digest, now_ms + self.rules.rejected_after_rollback_ms)
         self._enter(change, ChangeState.ROLLED_BACK, now_ms, reason)
-        record = self._record_change(HistoryEvent.ROLLED_BACK, change, now_ms, reason)
+        record = self.records.add_change(HistoryEvent.ROLLED_BACK, change, now_ms, reason)
         return Adoption(self.in_force.generation, record)
 
     def earlier_snapshot(self, generation: int | None = None) -> GenerationSnapshot:
@@ -344,9 +333,9 @@
         if self.current is None:
             self._confirmed_snapshots.append(self.in_force)
         else:
-            self._confirmed_snapshots.append(_with_peer_addresses_of(self._confirmed_snapshots.pop(), self.in_force))
+            self._confirmed_snapshots.append(with_peer_addresses_of(self._confirmed_snapshots.pop(), self.in_force))
         confirmed = self._confirmed_snapshots[-1]
-        record = self._add_record(
+        record = self.records.add(
             HistoryEvent.CONFIRMED,
             generation=confirmed.generation.number,
             digest=confirmed.digest,
@@ -380,57 +369,3 @@
     def _next_generation(self, config: Config, origin: str, now_ms: float) -> Generation:
         self._last_generation_number += 1
         return Generation(self._last_generation_number, config, origin, now_ms)
-
-    def _record_change(
-        self,
-        event: HistoryEvent,
-        change: ConfigurationChange,
-        now_ms: float,
-        reason: str = "",
-        document: Document | None = None,
-    ) -> HistoryRecord:
-        return self._add_record(
-            event,
-            generation=change.generation.number if change.generation else 0,
-            digest=change.digest,
-            origin=change.origin,
-            now_ms=now_ms,
-            reason=reason,
-            document=document,
-        )
-
-    def _add_record(
-        self,
-        event: HistoryEvent,
-        *,
-        generation: int,
-        digest: str,
-        origin: str,
-        now_ms: float,
-        reason: str,
-        document: Document | None,
-    ) -> HistoryRecord:
-        """Create a record, add it to those in memory and return it for writing."""
-        self._last_sequence_number += 1
-        record = HistoryRecord(
-            sequence_number=self._last_sequence_number,
-            event=event,
-            generation=generation,
-            digest=digest,
-            origin=origin,
-            recorded_at_ms=now_ms,
-            reason=reason,
-            document=document,
-            file_digest=self.file_digest,
-        )
-        self.records.append(record)
-        return record
-
-
-def _with_peer_addresses_of(snapshot: GenerationSnapshot, address_source: GenerationSnapshot) -> GenerationSnapshot:
-    """Return a generation with its peer addresses replaced by those of `address_source`."""
-    old = snapshot.generation
-    document = {**snapshot.document, "peers": address_source.document["peers"]}
-    config, _ = with_new_peer_addresses(old.config, address_source.generation.config)
-    generation = Generation(old.number, config, old.origin, old.created_at_ms)
-    return GenerationSnapshot(generation, document, digest_of(document))
--- a/nickelslip/server/configuration_manager.py
+++ b/nickelslip/server/configuration_manager.py
@@ -121,7 +121,7 @@
             case commands.StatusCommand():
                 return self._status()
             case commands.HistoryCommand():
-                return results.HistoryResult(list(self.changes.records)[-MAX_RECORDS_IN_REPLY:])
+                return results.HistoryResult(list(self.changes.records.latest)[-MAX_RECORDS_IN_REPLY:])
             case commands.CheckCommand():
                 return self._check(command)
             case commands.StageCommand():
--- a/nickelslip/server/configuration_reloader.py
+++ b/nickelslip/server/configuration_reloader.py
@@ -83,7 +83,7 @@
         applies_remaining = bool(remaining) and self._changes.rules.reload_all
         if not applies_remaining:
             self._file_document = document
-            self._changes.file_digest = digest_of(document)
+            self._changes.records.file_digest = digest_of(document)
         await self._adopt_peer_addresses(config, document)
         self._log_applied(config, remaining)
         if applies_remaining:
@@ -107,11 +107,11 @@
 
     async def _apply_remaining(self, config: Config, document: Document) -> None:
         """Apply the complete configuration of the files as a change; if it is rejected, the next reload retries it."""
-        previous_digest = self._changes.file_digest
-        self._changes.file_digest = digest_of(document)
+        previous_digest = self._changes.records.file_digest
+        self._changes.records.file_digest = digest_of(document)
         try:
             await self._applier.stage_and_apply(self._applier.draft(config, document, RELOAD_ORIGIN, False))
             self._file_document = document
         except ChangeRejectedError as error:
-            self._changes.file_digest = previous_digest
+            self._changes.records.file_digest = previous_digest
             self._server.log.error("configuration_rejected", error=str(error))
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -153,14 +153,14 @@
     in_force = steps.changes.in_force
     assert in_force.generation.number == 4
     assert in_force.document["customers"]["t00000"]["share_per_s"] == 5.0
-    assert steps.changes.current is None and len(steps.changes.records) == 6
+    assert steps.changes.current is None and len(steps.changes.records.latest) == 6
 
 
 def test_a_full_history_does_not_grow_with_further_changes():
     steps = in_process.ChangeSteps(in_process.checked_document(native_document(10)))
     for change_number in range(1, in_process.CHANGES_TO_FILL_HISTORY + 20):
         steps.push(in_process.change_rules_overlay(change_number))
-    assert len(steps.changes.records) == steps.changes.records.maxlen
+    assert len(steps.changes.records.latest) == steps.changes.records.latest.maxlen
     few, many = in_process.full_history_bytes(10), in_process.full_history_bytes(110)
     # Bytes for each tenant and change: every change keeps a whole document.
     assert (many - few) / 100 / in_process.CHANGES_TO_FILL_HISTORY > 50
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -207,15 +207,15 @@
         changes, _ = started_changes()
         change = draft_change(changes, 1.0, "{machine: {cores: 3}}")
         changes.stage(1.0, change)
-        changes.file_digest = change.digest  # as after SIGHUP with that file
+        changes.records.file_digest = change.digest  # as after SIGHUP with that file
         changes.begin_applying(2.0)
         changes.mark_applied(2.0)
         if rolls_back:
             changes.roll_back(3.0, "harm")
-        restart = select_start([*changes.records], change.document, 4.0)
+        restart = select_start([*changes.records.latest], change.document, 4.0)
         assert restart.document["machine"]["cores"] == 2 and restart.record is None
         changed_file = {**change.document, "machine": {**change.document["machine"], "cores": 7}}
-        assert select_start([*changes.records], changed_file, 4.0).document["machine"]["cores"] == 7
+        assert select_start([*changes.records.latest], changed_file, 4.0).document["machine"]["cores"] == 7
 
 
 def test_peer_addresses_changed_in_a_canary_period_are_kept_after_rollback_and_confirmation():
@@ -232,8 +232,8 @@
         record = changes.roll_back(4.0, "harm")[1] if rolls_back else changes.confirm(4.0, "good")
         assert changes.in_force.generation.config.pool == ("127.0.0.1", 99)
         assert changes.in_force.generation.config.settings.core_count == (2 if rolls_back else 3)
-        restart = select_start([*changes.records], layered_document().document, 5.0)
-        assert record in changes.records and restart.document["peers"]["pool"] == "127.0.0.1:99"
+        restart = select_start([*changes.records.latest], layered_document().document, 5.0)
+        assert record in changes.records.latest and restart.document["peers"]["pool"] == "127.0.0.1:99"
         assert restart.document["machine"]["cores"] == (2 if rolls_back else 3)
 
 
--- a/tests/test_configuration_manager.py
+++ b/tests/test_configuration_manager.py
@@ -181,7 +181,7 @@
             rig.server.generation.settings.core_count == 5
             and rig.server.generation.settings.idle_connection_timeout_ms == 15000.0
         )
-        assert [record.event.value for record in rig.configuration_manager.changes.records] == [
+        assert [record.event.value for record in rig.configuration_manager.changes.records.latest] == [
             "started",
             "applied",
             "rolled back",
@@ -250,7 +250,7 @@
         metrics.set_latency_objectives(objectives_ms)
         await simulate_traffic(lambda pair: 0.1, lambda: rig.configuration_manager.changes.current is None)
         assert rig.server.generation.settings.core_count == 6
-        last_record = rig.configuration_manager.changes.records[-1]
+        last_record = rig.configuration_manager.changes.records.latest[-1]
         assert last_record.event is history.HistoryEvent.ROLLED_BACK and "quoted time" in last_record.reason
         with pytest.raises(ChangeRejectedError) as caught:
             await rig.push({"machine": {"cores": 1}})
