--- a/tests/server/test_idempotency.py
+++ b/tests/server/test_idempotency.py
@@ -71,3 +71,15 @@
             await rig.pool.send_line(op="unknown", end="spawn", id=request_id)
             assert (await client.receive_answer())[1] == "error"
         await rig.start_run(client, A, "book", opkey="k0")
+
+
+async def test_a_key_can_be_reused_if_the_worker_pool_reports_that_its_run_was_too_late_to_start():
+    async with ServerRig() as rig:
+        client = await (await rig.wait_until_serving()).connect_client()
+        await rig.start_run(client, A, "book", opkey="k1", timeout=300)
+        assert (await client.receive_answer())[:2] == (1, "error")
+        await rig.pool.finish(A, end="late", body=b"")
+        await wait_until(lambda: not rig.server.requests)
+        await rig.start_run(client, B, "book", opkey="k1", resent=1)
+        await rig.pool.finish(B)
+        assert (await client.receive_answer())[:2] == (2, "done")
