Let a test of messages in pieces take as long as a busy machine needs

Trace: the log has DRAINING and SHUTTING_DOWN within the second and no start of the request; finish_request waited for it in vain. Its message of some 150 single bytes was whole so late that the server rejected the request as late: the objective of 1 s and the kill after 0.7 s bound the test, not the time for a message.

Change: in this test the kill comes after 5 s and the objectives are the classes' timeouts. What it asserts is unchanged: each message is answered with its result.

--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -10,7 +10,8 @@
 
 from nickelslip.admission.interface import RequestState
 from nickelslip.configuration import history, json5_reader
-from nickelslip.configuration.canary_analysis import CanaryAnalysis, CanaryStatus, CanaryVerdict
+from nickelslip.configuration.canary_analysis import CanaryAnalysis
+from nickelslip.configuration.canary_verdict import CanaryStatus, CanaryVerdict
 from nickelslip.configuration.change_lifecycle import ChangeRejectedError, ChangeState, RejectionReason
 from nickelslip.configuration.change_manager import ChangeManager
 from nickelslip.configuration.config import config_from_platform
--- a/tests/test_slow_messages.py
+++ b/tests/test_slow_messages.py
@@ -19,6 +19,7 @@
 pytestmark = pytest.mark.anyio
 STATUS = resp.message(b"STATUS", b"1")
 JUST_BELOW_TIMEOUT_MS = MESSAGE_TIMEOUT_MS - 100.0
+LONG_SHUTDOWN_MS = 5000.0  # a message in single bytes may take long on a busy machine
 
 
 @pytest.fixture
@@ -76,7 +77,11 @@
 @pytest.mark.parametrize("size", (20, 1))
 @pytest.mark.parametrize("shutting_down", (False, True))
 async def test_a_message_in_pieces_on_an_idle_connection_is_answered(size, shutting_down):
-    async with ServerRig(cpus=32) as rig:
+    rig = ServerRig(cpus=32)
+    rig.config["stop_ms"] = LONG_SHUTDOWN_MS
+    for traffic_class in rig.platform_settings["classes"]:
+        traffic_class["aim-ms"] = traffic_class["deadline-ms"]
+    async with rig:
         await rig.wait_until_serving()
         clock, peer = ShiftedClock(rig), await connect_idle_client(rig)
         other = await connect_idle_client(rig)
