Split the canary analysis into its verdict, its tests and their evaluation

Change: canary_verdict, canary_checks and canary_analysis, their text as it was; the table of reasons stays in canary_analysis.

No behaviour changes.

--- a/nickelslip/configuration/change_manager.py
+++ b/nickelslip/configuration/change_manager.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from nickelslip.configuration.canary_analysis import CanaryStatus, CanaryVerdict
+from nickelslip.configuration.canary_verdict import CanaryStatus, CanaryVerdict
 from nickelslip.configuration.change_lifecycle import (
     STATE_WORDS,
     ChangeRejectedError,
--- a/nickelslip/server/canary_observation.py
+++ b/nickelslip/server/canary_observation.py
@@ -6,7 +6,8 @@
 from typing import NamedTuple
 
 from nickelslip.admission.interface import LoadSignal
-from nickelslip.configuration.canary_analysis import CanaryAnalysis, CanaryVerdict
+from nickelslip.configuration.canary_analysis import CanaryAnalysis
+from nickelslip.configuration.canary_verdict import CanaryVerdict
 from nickelslip.configuration.metrics_window import Baseline
 from nickelslip.configuration.request_metrics import BUCKET_MS, MetricsBucket, RequestMetrics
 from nickelslip.server.lifecycle import Phase
--- a/nickelslip/server/canary_watcher.py
+++ b/nickelslip/server/canary_watcher.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from nickelslip.configuration.canary_analysis import CanaryStatus, CanaryVerdict
+from nickelslip.configuration.canary_verdict import CanaryStatus, CanaryVerdict
 from nickelslip.configuration.change_lifecycle import ChangeState
 from nickelslip.configuration.change_manager import ChangeManager
 from nickelslip.configuration.request_metrics import BUCKET_MS
--- a/nickelslip/server/control_results.py
+++ b/nickelslip/server/control_results.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from nickelslip.configuration.canary_analysis import CanaryVerdict
+from nickelslip.configuration.canary_verdict import CanaryVerdict
 from nickelslip.configuration.change_lifecycle import STATE_WORDS, ChangeState, ConfigurationChange
 from nickelslip.configuration.change_manager import ChangeStatus
 from nickelslip.configuration.history import HistoryRecord
--- a/nickelslip/server/control_words.py
+++ b/nickelslip/server/control_words.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Mapping
 
-from nickelslip.configuration.canary_analysis import CanaryStatus
+from nickelslip.configuration.canary_verdict import CanaryStatus
 from nickelslip.configuration.change_lifecycle import RejectionReason
 from nickelslip.configuration.history import HistoryEvent
 from nickelslip.server.lifecycle import Phase
