Do not count a stall of the emulator's own process against servers

Change: StallMonitor records when the event loop of the load balancers did not run; a deadline that falls into a stall moves to its end, as it does for a paused server. A connection that is lost under an open request is recorded, and the line of a violation says how the attempt ended, so that the next such failure tells these cases apart.

--- a/nickelslip/emulator/checkers.py
+++ b/nickelslip/emulator/checkers.py
@@ -42,7 +42,7 @@
 
     Attributes:
         incarnation: The incarnation that the attempt reached; None before the server's first start.
-        deadline_at_ms: The attempt's deadline; one that falls into an outage moves to the end of the outage.
+        deadline_at_ms: The attempt's deadline; one that falls into an outage or a stall moves to its end.
         is_excused: Whether the attempt needs no answer.
         last_at_ms: Time of the last event in the history.
     """
@@ -120,12 +120,22 @@
     attempt = context.attempt
     answer_by_ms = context.deadline_at_ms + context.limits.slack_ms
     if not attempt.answers and answer_by_ms < context.last_at_ms:
-        yield f"lost: {attempt}: never answered"
+        yield f"lost: {attempt}: never answered{_describe_end(context)}"
     if attempt.answers and attempt.answers[0].at_ms > answer_by_ms:
         late_ms = attempt.answers[0].at_ms - context.deadline_at_ms
         yield f"lost: {attempt}: answered {late_ms:.0f} ms past its time"
 
 
+def _describe_end(context: AttemptContext) -> str:
+    """Describe how an attempt without an answer ended, relative to its deadline."""
+    attempt = context.attempt
+    if attempt.disconnected_at_ms < inf:
+        return f", its connection was lost at {attempt.disconnected_at_ms - context.deadline_at_ms:+.0f} ms"
+    if attempt.cancelled_at_ms < inf:
+        return f", cancelled at {attempt.cancelled_at_ms - context.deadline_at_ms:+.0f} ms"
+    return ""
+
+
 def answered_with_the_result_of_a_run(context: AttemptContext) -> Iterator[str]:
     """A completed attempt has a body that a run produced, and its own run unless it has an idempotency key."""
     attempt = context.attempt
--- a/nickelslip/emulator/load_balancer_connection.py
+++ b/nickelslip/emulator/load_balancer_connection.py
@@ -210,8 +210,8 @@
         now_ms = self._history.clock()
         for attempt in self._open.values():
             was_unread = now_ms - attempt.written_at_ms <= UNREAD_WINDOW_MS
-            if was_unread:
-                self._history.add(Kind.REQUEST_NEVER_READ, self._server, attempt.request.request_id)
+            kind = Kind.REQUEST_NEVER_READ if was_unread else Kind.REQUEST_DISCONNECTED
+            self._history.add(kind, self._server, attempt.request.request_id)
             attempt.resolve(AttemptResult(AttemptEnd.CROSSED if was_unread else AttemptEnd.DISCONNECTED))
         self._open.clear()
 
--- a/nickelslip/emulator/observed_history.py
+++ b/nickelslip/emulator/observed_history.py
@@ -45,6 +45,7 @@
     idempotency_key: str = ""
     deadline_at_ms: float = inf
     cancelled_at_ms: float = inf
+    disconnected_at_ms: float = inf
     was_never_read: bool = False
     answers: list[Answer] = field(default_factory=list)
     runs_at_ms: list[float] = field(default_factory=list)
@@ -76,6 +77,7 @@
         incarnations: Incarnations by server, in the order of their starts.
         attempts: Attempts by server and request id, in the order of their first events.
         outages: Outages by server.
+        stalls: Time spans in which the process that runs the load balancers did not run.
         last_at_ms: Time of the last event.
     """
 
@@ -83,6 +85,7 @@
         self.incarnations: dict[str, list[Incarnation]] = defaultdict(list)
         self.attempts: dict[tuple[str, str], Attempt] = {}
         self.outages: dict[str, list[Outage]] = defaultdict(list)
+        self.stalls: list[Outage] = []
         self.last_at_ms = history.events[-1].at_ms if history.events else 0.0
         self._open_outages: dict[str, dict[str, Outage]] = defaultdict(dict)
         handlers: dict[Kind, Callable[[Event], None]] = {
@@ -98,6 +101,8 @@
             Kind.ANSWERED: self._answered,
             Kind.REQUEST_CANCELLED: self._cancelled,
             Kind.REQUEST_NEVER_READ: self._never_read,
+            Kind.REQUEST_DISCONNECTED: self._disconnected,
+            Kind.OBSERVER_STALLED: self._observer_stalled,
             Kind.RUN_STARTED: self._run_started,
         }
         for event in history.events:
@@ -112,8 +117,9 @@
         return incarnations[count - 1] if count else None
 
     def extended_deadline(self, server: str, deadline_at_ms: float) -> float:
-        """Return the deadline; one that falls into an outage moves to the end of the outage."""
-        for outage in sorted(self.outages[server], key=lambda outage: (outage.begin_at_ms, outage.end_at_ms)):
+        """Return the deadline; one that falls into an outage or a stall moves to its end."""
+        outages = [*self.outages[server], *self.stalls]
+        for outage in sorted(outages, key=lambda outage: (outage.begin_at_ms, outage.end_at_ms)):
             if outage.begin_at_ms <= deadline_at_ms < outage.end_at_ms:
                 deadline_at_ms = outage.end_at_ms
         return deadline_at_ms
@@ -167,6 +173,12 @@
     def _never_read(self, event: Event) -> None:
         self._attempt(event).was_never_read = True
 
+    def _disconnected(self, event: Event) -> None:
+        self._attempt(event).disconnected_at_ms = event.at_ms
+
+    def _observer_stalled(self, event: Event) -> None:
+        self.stalls.append(Outage(event.detail, event.at_ms))
+
     def _run_started(self, event: Event) -> None:
         attempt = self._attempt(event)
         attempt.runs_at_ms.append(event.at_ms)
--- a/nickelslip/emulator/shared_services.py
+++ b/nickelslip/emulator/shared_services.py
@@ -18,6 +18,7 @@
 from nickelslip.emulator.records_service import RecordsService
 from nickelslip.emulator.relay import Relay
 from nickelslip.emulator.services_spec import ServicesSpec
+from nickelslip.emulator.stall_monitor import StallMonitor
 from nickelslip.emulator.worker_pool import WorkerPool
 
 Address = tuple[str, int]
@@ -108,6 +109,7 @@
             )
             for number in range(1, spec.balancer_count + 1)
         ]
+        self._tasks.append(asyncio.get_running_loop().create_task(StallMonitor(self.history).run()))
         if spec.records_list:
             self._tasks.append(asyncio.get_running_loop().create_task(self._record_list(self.directory)))
 
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -7,6 +7,7 @@
 import signal
 import subprocess
 import sys
+import time
 from math import inf
 from pathlib import Path
 
@@ -25,6 +26,7 @@
 from nickelslip.emulator.schedule import ScheduleError, Step, parse_schedule
 from nickelslip.emulator.service_model import Service, ServiceProfile
 from nickelslip.emulator.shared_processor import SharedProcessor
+from nickelslip.emulator.stall_monitor import StallMonitor
 from nickelslip.emulator.time_weighted_mean import TimeWeightedMean
 
 ROOT = Path(__file__).parent.parent
@@ -204,6 +206,35 @@
     assert checkers.request_violations(history_of(*events), ["read"], 300.0, 100.0) == []
 
 
+def test_deadline_during_a_stall_of_the_observer_moves_to_the_end_of_the_stall():
+    # Guards against answers that count as lost because the process of the load balancers stalled and read them late.
+    unanswered = (*valid_events_without(Kind.ANSWERED), (2300.0, Kind.REQUEST_CANCELLED, "a1", None))
+    for stall_began_at_ms, stall_ended_at_ms, expected in (
+        (1950.0, 2250.0, 0),
+        (1600.0, 1990.0, 1),
+        (1950.0, 2150.0, 1),
+    ):
+        stall = (stall_ended_at_ms, Kind.OBSERVER_STALLED, "", stall_began_at_ms)
+        events = sorted((*unanswered, stall), key=lambda event: event[0])
+        found = checkers.request_violations(history_of(*events), ["read"], 300.0, 100.0)
+        assert len(found) == expected and all("never answered, cancelled at" in line for line in found)
+
+
+@pytest.mark.anyio
+async def test_stall_of_the_event_loop_is_recorded():
+    history = History()
+    monitor = asyncio.get_running_loop().create_task(StallMonitor(history).run())
+    await asyncio.sleep(0.02)
+    history.events.clear()  # a busy machine may have stalled this process
+    began_at_ms = history.clock()
+    time.sleep(0.06)
+    ended_at_ms = history.clock()
+    await asyncio.sleep(0.02)
+    monitor.cancel()
+    stall = history.of(Kind.OBSERVER_STALLED)[0]
+    assert stall.detail <= began_at_ms and stall.at_ms >= ended_at_ms
+
+
 def test_fleet_checkers_find_planted_violations():
     calls = [Event(float(100 * number), Kind.CALL_BEGAN, f"n{number}", "", 0) for number in range(10)]
     assert fleet_properties.capacity_violations(calls, lambda event: 1.0, 10.0) == []
