Answer two slacks before the kill instead of four, since its only reason was stalls

Change: KILL_MARGIN_PER_SLACK is 2: one slack for answers that are written late, one in which connections are closed. By the protocol a request that crosses a close within 50 ms is sent again.

--- a/nickelslip/admission/answer_deadlines.py
+++ b/nickelslip/admission/answer_deadlines.py
@@ -9,9 +9,9 @@
 from nickelslip.admission.tracked_request import TrackedRequest, TrackedRequests
 
 MARGIN_TICKS = 2.0  # answers are sent this many ticks before they are due
-# Answers are due this many times `answer_slack_ms` before the server is killed, so that time is left to close its
-# connections.
-KILL_MARGIN_PER_SLACK = 4.0
+# Answers are due this many times `answer_slack_ms` before the server is killed: one for answers that are written late,
+# and one in which the server closes its connections.
+KILL_MARGIN_PER_SLACK = 2.0
 
 
 class AnswerDeadlines:
