Let the test of an interrupted fleet pass when the suite runs in the background

Seen: in a suite started as a background job of a shell the fleet ignored the interrupt, and the test failed after 20 s.

Cause: such a shell lets its children ignore SIGINT, which Python then leaves as it is.

Change: the script of the test sets the handler that Python has in the foreground. What is checked is the same.

--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -354,7 +354,7 @@
 
 
 FLEET_SCRIPT = """
-import asyncio, sys
+import asyncio, signal
 from nickelslip.emulator.fleet import Fleet
 from nickelslip.emulator.fleet_plan import Plan
 async def main():
@@ -362,6 +362,7 @@
         await fleet.start()
         print(*fleet.pids, *(host.pid for host in fleet.services.hosts), flush=True)
         await asyncio.sleep(60)
+signal.signal(signal.SIGINT, signal.default_int_handler)  # a shell ignores it in its background jobs
 asyncio.run(main())
 """
 
