Split the emulator's worker pool and shared services by what they do

Change: work_profile (work and parts of a run), worker_pool_connection (which sees the pool as a protocol), link_relays and service_commands; their text as it was. Random draws keep their order.

No behaviour changes.

--- a/benchmarks/cold_start_run.py
+++ b/benchmarks/cold_start_run.py
@@ -20,7 +20,7 @@
 from nickelslip.emulator.machine_model import MachineProfile
 from nickelslip.emulator.service_model import ServiceProfile
 from nickelslip.emulator.shared_processor import warm_up_fraction
-from nickelslip.emulator.worker_pool import WorkProfile
+from nickelslip.emulator.work_profile import WorkProfile
 
 LOAD_FRACTION = 0.55  # of the capacity of the warm machines
 SERVING_LOAD_FRACTION = 0.8  # of the capacity of the servers that serve while the others start
--- a/nickelslip/emulator/fleet.py
+++ b/nickelslip/emulator/fleet.py
@@ -173,7 +173,7 @@
     # Commands
 
     async def run_command(self, command: str, server: str = "", **values: Any) -> Any:
-        """Run a command of `shared_services.COMMANDS` at the services."""
+        """Run a command of `service_commands.COMMANDS` at the services."""
         return await self.services.run(command, server, **values)
 
     async def set_request_rate(self, rate_per_s: float | None = None) -> None:
--- a/nickelslip/emulator/fleet_plan.py
+++ b/nickelslip/emulator/fleet_plan.py
@@ -9,7 +9,7 @@
 from nickelslip.emulator.client_traffic import BalancerPolicy, ClassTraffic
 from nickelslip.emulator.machine_model import MachineProfile
 from nickelslip.emulator.service_model import ServiceProfile
-from nickelslip.emulator.worker_pool import WorkProfile
+from nickelslip.emulator.work_profile import WorkProfile
 
 ANSWER_SLACK_MS = 20.0  # by how much an answer may be late, in the settings of servers
 SOCKET_TOLERANCE_MS = 50.0  # the protocol extends every time limit on sockets by this
--- a/nickelslip/emulator/fleet_services.py
+++ b/nickelslip/emulator/fleet_services.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from nickelslip.emulator.history import History
+from nickelslip.emulator.service_commands import run_command
 from nickelslip.emulator.service_host import ServiceHost
 from nickelslip.emulator.services_spec import ServicesSpec
 from nickelslip.emulator.shared_services import SharedServices
@@ -63,11 +64,11 @@
         await asyncio.gather(*(host.start() for host in self.hosts))
 
     async def run(self, command: str, server: str = "", **values: Any) -> Any:
-        """Run a command of `shared_services.COMMANDS` in the processes that it concerns, and return its result."""
+        """Run a command of `service_commands.COMMANDS` in the processes that it concerns, and return its result."""
         if server:
             values = {"server": server, **values}
         if self.local is not None:
-            return await self.local.run_command(command, **values)
+            return await run_command(self.local, command, **values)
         host = self._pool_hosts[server] if command in POOL_COMMANDS else self.hosts[0]
         result = await host.run(command, **values)
         if command in LINK_COMMANDS:
--- a/nickelslip/emulator/load_balancer_connection.py
+++ b/nickelslip/emulator/load_balancer_connection.py
@@ -11,7 +11,7 @@
 from typing import NamedTuple, cast
 
 from nickelslip.emulator.history import MS_PER_S, History, Kind
-from nickelslip.emulator.worker_pool import expected_response
+from nickelslip.emulator.work_profile import expected_response
 from nickelslip.server import resp
 
 Address = tuple[str, int]
--- a/nickelslip/emulator/services_process.py
+++ b/nickelslip/emulator/services_process.py
@@ -17,6 +17,7 @@
 import uvloop
 
 from nickelslip.emulator.history import History
+from nickelslip.emulator.service_commands import run_command
 from nickelslip.emulator.services_spec import READY_NUMBER, ServicesSpec
 from nickelslip.emulator.shared_services import SharedServices
 
@@ -55,7 +56,7 @@
         message = json.loads(line)
         if message["do"] == "end":
             return
-        result = await services.run_command(message["do"], **message["values"])
+        result = await run_command(services, message["do"], **message["values"])
         _write_line(n=message["n"], result=result)
 
 
--- a/nickelslip/emulator/services_spec.py
+++ b/nickelslip/emulator/services_spec.py
@@ -12,7 +12,7 @@
 from nickelslip.emulator.client_traffic import BalancerPolicy, ClassTraffic
 from nickelslip.emulator.machine_model import MachineProfile
 from nickelslip.emulator.service_model import ServiceProfile
-from nickelslip.emulator.worker_pool import WorkProfile
+from nickelslip.emulator.work_profile import WorkProfile
 
 Address = tuple[str, int]
 KeyMap = Mapping[str, str]
--- a/nickelslip/emulator/shared_services.py
+++ b/nickelslip/emulator/shared_services.py
@@ -1,7 +1,7 @@
-"""All or some of the fake services of a fleet, in one process, and the commands that control them.
+"""All or some of the fake services of a fleet, in one process.
 
-The commands are called directly in the fleet's own process, or as JSON lines in a separate process
-(`services_process`). This module neither starts servers nor sends them signals.
+`service_commands` has the commands that control them. They are called directly in the fleet's own process, or as JSON
+lines in a separate process (`services_process`). This module neither starts servers nor sends them signals.
 """
 
 from __future__ import annotations
@@ -13,35 +13,16 @@
 from nickelslip.emulator.client_traffic import ClientTraffic
 from nickelslip.emulator.directory_service import DirectoryService
 from nickelslip.emulator.history import MS_PER_S, History, Kind
-from nickelslip.emulator.links import Direction, directions, fault_fields
+from nickelslip.emulator.link_relays import LinkRelays, service_address
 from nickelslip.emulator.load_balancers import LoadBalancer
 from nickelslip.emulator.records_service import RecordsService
-from nickelslip.emulator.relay import Relay
 from nickelslip.emulator.services_spec import ServicesSpec
 from nickelslip.emulator.stall_monitor import StallMonitor
 from nickelslip.emulator.worker_pool import WorkerPool
 
 Address = tuple[str, int]
-SERVICE_PORT_OFFSET = 1  # port of a service behind a relay, relative to the relay's port
-MOVE_PORT_OFFSET = 10  # between successive addresses of a service that moves
-OLD_RELAY_CLOSE_DELAY_S = 1.5  # time from a move until connections to the old address are closed, as on the platform
 LIST_INTERVAL_MS = 100.0
 NO_EXCESS = -1e9  # used instead of minus infinity, which JSON lacks
-POOL_LINK = "pool"
-RECORDS_LINK = "records"
-DIRECTORY_LINK = "directory"
-BALANCERS_LINK = "balancers"
-MOVED_LINKS = (POOL_LINK, RECORDS_LINK, DIRECTORY_LINK)
-
-
-class UnknownServiceCommandError(ValueError):
-    """The command is not in COMMANDS."""
-
-
-def service_address(address: Address, is_relayed: bool) -> Address:
-    """Return the service's own address, given the address that servers use."""
-    host, port = address
-    return (host, port + SERVICE_PORT_OFFSET) if is_relayed else address
 
 
 class SharedServices:
@@ -66,7 +47,7 @@
         self.spec = spec
         self.history = history
         self.pools: dict[str, WorkerPool] = {}
-        self.relays: dict[str, dict[str, Relay]] = {name: {} for name in spec.servers}
+        self.relays = LinkRelays(spec, history)
         self.directory: DirectoryService | None = None
         self.records: RecordsService | None = None
         self.balancers: list[LoadBalancer] = []
@@ -75,7 +56,6 @@
         self._on_machine_failure = on_machine_failure
         self._pool_listeners: dict[str, list[asyncio.Server]] = {name: [] for name in spec.servers}
         self._tasks: list[asyncio.Task[None]] = []
-        self._move_counts: dict[str, int] = {}
         self._worst_ended_excess = NO_EXCESS  # of the machines of ended worker pools
 
     # Start
@@ -86,7 +66,7 @@
             await self._start_shared()
         if self.spec.is_relayed:
             for name in self._pool_names:
-                await self._start_relay(name, POOL_LINK, self.spec.servers[name].pool)
+                await self.relays.start_pool_link(name)
 
     async def _start_shared(self) -> None:
         spec = self.spec
@@ -94,7 +74,7 @@
         self.records = RecordsService(spec.service, self.history, spec.seed)
         if spec.is_relayed:
             for name in spec.servers:
-                await self._start_shared_relays(name)
+                await self.relays.start_shared_links(name)
         await self._listen(self.records, self.directory)
         traffic = ClientTraffic(spec.rate_per_s / max(1, spec.balancer_count), spec.traffic_classes)
         self.balancers = [
@@ -113,14 +93,6 @@
         if spec.records_list:
             self._tasks.append(asyncio.get_running_loop().create_task(self._record_list(self.directory)))
 
-    async def _start_shared_relays(self, name: str) -> None:
-        addresses = self.spec.servers[name]
-        await self._start_relay(name, RECORDS_LINK, addresses.records)
-        await self._start_relay(name, DIRECTORY_LINK, addresses.directory)
-        relay = Relay(BALANCERS_LINK, name, addresses.listen, Direction.TO_SERVER, self.spec.seed, self.history)
-        self.relays[name][BALANCERS_LINK] = relay
-        await relay.listen(self._balancer_addresses()[name])
-
     async def _listen(self, records: RecordsService, directory: DirectoryService) -> None:
         spec = self.spec
         servers_by_address = {
@@ -141,21 +113,6 @@
             for name, addresses in self.spec.servers.items()
         }
 
-    async def _start_relay(self, server: str, link: str, address: Address, target: Address | None = None) -> None:
-        relay = Relay(
-            link,
-            server,
-            target or service_address(address, True),
-            Direction.FROM_SERVER,
-            self.spec.seed,
-            self.history,
-        )
-        self.relays[server][link] = relay
-        if link == DIRECTORY_LINK:
-            await relay.listen_datagrams(address)
-        else:
-            await relay.listen(address)
-
     async def _record_list(self, directory: DirectoryService) -> None:
         while True:
             self.history.add(Kind.LISTED, "", "", directory.listed())
@@ -186,44 +143,6 @@
         if self.directory is not None:
             asyncio.get_running_loop().call_later(up_ms / MS_PER_S, self.directory.register, server)
 
-    # Links
-
-    def set_link_faults(self, server: str, link: str, ways: list[str] | None, faults: dict[str, Any]) -> None:
-        """Set faults, given under their keys, on a link of a server.
-
-        With `link` "" all links are affected, and with `ways` None both directions.
-        """
-        for relay in self._relays_of(server, link):
-            relay.set_faults(directions(ways), **fault_fields(faults))
-
-    def reset_links(self, server: str, link: str = "") -> None:
-        """Reset all connections of a link of a server; with `link` "", those of all links."""
-        for relay in self._relays_of(server, link):
-            relay.reset_connections()
-
-    def _relays_of(self, server: str, link: str) -> list[Relay]:
-        return [relay for name, relay in self.relays[server].items() if link in ("", name)]
-
-    async def move(self, server: str) -> list[Address]:
-        """Move a server's services to other addresses.
-
-        The old addresses accept no new connections, and existing connections there are closed shortly afterwards.
-
-        Returns:
-            The server's listening address, and the new addresses of worker pool, records service and directory.
-        """
-        self._move_counts[server] = self._move_counts.get(server, 0) + 1
-        addresses = [self.spec.servers[server].listen]
-        for link in MOVED_LINKS:
-            old_relay = self.relays[server][link]
-            host, port = getattr(self.spec.servers[server], link)
-            address = (host, port + MOVE_PORT_OFFSET * self._move_counts[server])
-            addresses.append(address)
-            await self._start_relay(server, link, address, old_relay.target)
-            old_relay.stop_accepting()
-            self._tasks.append(asyncio.get_running_loop().create_task(_close_later(old_relay)))
-        return addresses
-
     # Shared services
 
     def take_directory_down(self) -> None:
@@ -281,60 +200,19 @@
             }
         return figures
 
-    # Commands and shutdown
-
-    async def run_command(self, command: str, **values: Any) -> Any:
-        """Run one of COMMANDS and return its result.
-
-        Raises:
-            UnknownServiceCommandError: The command is not in COMMANDS.
-        """
-        if command not in COMMANDS:
-            raise UnknownServiceCommandError(f"unknown command: {command}")
-        result = COMMANDS[command](self, **values)
-        return await result if asyncio.iscoroutine(result) else result
+    # Shutdown
 
     async def close(self) -> None:
         """Stop all services and relays."""
+        self.relays.cancel_tasks()
         for task in self._tasks:
             task.cancel()
         for balancer in self.balancers:
             await balancer.close()
         for server in self.spec.servers:
             self.end_pool(server, "the end")
-            for relay in self.relays[server].values():
-                await relay.close()
+            await self.relays.close(server)
         if self.directory is not None:
             self.directory.close()
         if self.records is not None:
             self.records.close()
-
-
-async def _close_later(relay: Relay) -> None:
-    await asyncio.sleep(OLD_RELAY_CLOSE_DELAY_S)
-    await relay.close()
-
-
-def _set_link(
-    services: SharedServices, server: str, link: str = "", ways: list[str] | None = None, **faults: Any
-) -> None:
-    services.set_link_faults(server, link, ways, faults)
-
-
-COMMANDS: dict[str, Callable[..., Any]] = {
-    "pool": SharedServices.start_pool,
-    "end_pool": lambda services, server, why: services.end_pool(server, why),
-    "came_up": SharedServices.register_later,
-    "set_link": _set_link,
-    "reset_links": SharedServices.reset_links,
-    "directory_down": SharedServices.take_directory_down,
-    "directory_up": SharedServices.bring_directory_up,
-    "directory_loses": lambda services, part: services.lose_reports(part),
-    "records_down": SharedServices.take_records_down,
-    "records_slow": lambda services, by: services.slow_records(by),
-    "move": SharedServices.move,
-    "ask": lambda services, rate: services.set_request_rate(rate),
-    "restart_balancers": lambda services, part=1.0: services.restart_balancers(part),
-    "figures": SharedServices.figures,
-}
-"""Methods by command name; lambdas map values whose keys differ from the names of the arguments."""
--- a/nickelslip/emulator/worker_pool.py
+++ b/nickelslip/emulator/worker_pool.py
@@ -1,19 +1,18 @@
-"""A fake worker pool with a listener, its connections, and runs on one emulated machine."""
+"""A fake worker pool, which accepts connections and executes runs on one emulated machine."""
 
 from __future__ import annotations
 
 import asyncio
-import json
 import random
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from math import inf
-from typing import cast
 
 from nickelslip.emulator.history import MS_PER_S, History, Kind
 from nickelslip.emulator.loop_timer import LoopTimer
 from nickelslip.emulator.machine_model import Machine, MachineProfile
+from nickelslip.emulator.work_profile import Run, WorkProfile, expected_response
+from nickelslip.emulator.worker_pool_connection import WorkerPoolConnection
 from nickelslip.emulator.worker_pool_messages import (
     Bind,
     Bound,
@@ -22,7 +21,6 @@
     Notification,
     Poll,
     Polled,
-    Reply,
     RunBlocked,
     RunFinished,
     RunOutcome,
@@ -33,54 +31,15 @@
     UnknownCommandError,
     UnknownRun,
     decode_command,
-    encode_line,
 )
 
 Address = tuple[str, int]
 MAX_KEPT_NOTIFICATIONS = 4000  # set by the protocol
-WORK_BEFORE_CALLS_FRACTION = 0.5
 CALL_BODY = b"look up"
 MEMORY_USED_GAUGE = 0.2
 SOCKETS_GAUGE = 8
 
 
-def expected_response(body: bytes) -> bytes:
-    """Return the response body that a run produces from a request body; response checks use it too."""
-    return body[::-1]
-
-
-@dataclass(frozen=True)
-class WorkProfile:
-    """The work and the calls of runs, by traffic class.
-
-    Attributes:
-        work_ms: Work by traffic class, in milliseconds at a speed of 1.
-        calls: Mean number of dependency calls by traffic class.
-        spread: The work of each run is drawn uniformly within plus or minus this fraction of the mean.
-    """
-
-    work_ms: dict[str, float]
-    calls: dict[str, float] = field(default_factory=dict)
-    spread: float = 0.3
-
-
-@dataclass
-class Run:
-    """A run and its progress.
-
-    Attributes:
-        parts_ms: The remaining work, in parts with a dependency call after each but the last.
-        blocked_sequence: Sequence number of the notification of the call that the run waits for; 0 if none.
-    """
-
-    request_id: str
-    traffic_class: str
-    body: bytes
-    started_at_ms: float
-    parts_ms: list[float]
-    blocked_sequence: int = 0
-
-
 class WorkerPool:
     """One incarnation of a server's worker pool.
 
@@ -222,24 +181,13 @@
             return
         now_ms = self._history.clock()
         self._history.add(Kind.RUN_STARTED, self.server, command.request_id, command.traffic_class, now_ms)
-        parts_ms = self._draw_parts(command, now_ms)
+        generator = random.Random(f"{self._seed} {command.request_id}")
+        calls_factor = self._machine.calls_factor(now_ms)
+        parts_ms = self._profile.draw_parts(command.traffic_class, calls_factor, generator)
         run = Run(command.request_id, command.traffic_class, command.body, now_ms, parts_ms)
         self._runs[run.request_id] = run
         self._start_next_part(run)
 
-    def _draw_parts(self, command: Spawn, now_ms: float) -> list[float]:
-        profile = self._profile
-        generator = random.Random(f"{self._seed} {command.request_id}")
-        factor = generator.uniform(1 - profile.spread, 1 + profile.spread)
-        work_ms = profile.work_ms[command.traffic_class] * factor
-        mean_calls = profile.calls.get(command.traffic_class, 0.0) * self._machine.calls_factor(now_ms)
-        call_count = int(mean_calls) + (generator.random() < mean_calls % 1)
-        if not call_count:
-            return [work_ms]
-        first_ms = work_ms * WORK_BEFORE_CALLS_FRACTION
-        last_ms = work_ms * (1 - WORK_BEFORE_CALLS_FRACTION)
-        return [first_ms, *[0.0] * (call_count - 1), last_ms]
-
     def _suspend(self, request_id: str) -> None:
         run = self._runs.get(request_id)
         if run is None:
@@ -306,48 +254,3 @@
         self._notifications.append(notification)
         if self._connections and self._connections[-1].bound:
             self._connections[-1].send(notification)
-
-
-class WorkerPoolConnection(asyncio.Protocol):
-    """One connection of a server to its worker pool.
-
-    Args:
-        pool: The worker pool.
-
-    Attributes:
-        after_sequence: The server asked for notifications after this sequence number; None until it binds.
-        bound: Whether the pool has bound the connection.
-    """
-
-    def __init__(self, pool: WorkerPool) -> None:
-        self.after_sequence: int | None = None
-        self.bound = False
-        self._pool = pool
-        self._buffer = b""
-        self._transport: asyncio.Transport | None = None
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Register the connection."""
-        self._transport = cast(asyncio.Transport, transport)
-        self._pool.connection_opened(self)
-
-    def data_received(self, data: bytes) -> None:
-        """Execute every complete line."""
-        *lines, self._buffer = (self._buffer + data).split(b"\n")
-        for line in lines:
-            self._pool.handle_line(self, json.loads(line))
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Unregister the connection."""
-        self._transport = None
-        self._pool.connection_closed(self)
-
-    def send(self, message: Reply) -> None:
-        """Write a message, unless the connection is closed."""
-        if self._transport is not None:
-            self._transport.write(encode_line(message))
-
-    def abort(self) -> None:
-        """Reset the connection."""
-        if self._transport is not None:
-            self._transport.abort()
