--- a/nickelslip/admission/controller.py
+++ b/nickelslip/admission/controller.py
@@ -30,7 +30,6 @@
 from nickelslip.admission.idempotency_records import IdempotencyRecords
 from nickelslip.admission.idle_connections import IdleConnectionTimeout
 from nickelslip.admission.interface import (
-    FINAL_STATES,
     Arrival,
     Decisions,
     Gauges,
@@ -39,21 +38,19 @@
     Preemption,
     RequestState,
     Settings,
-    StateChange,
 )
 from nickelslip.admission.interval_measurements import ADJUSTMENT_INTERVAL_MS, IntervalMeasurements
 from nickelslip.admission.memory_budget import MemoryBudget
 from nickelslip.admission.overload_concurrency import OverloadConcurrency
 from nickelslip.admission.queue_priority import QueuePriority
 from nickelslip.admission.record_retention import RecordRetention
+from nickelslip.admission.rejections import Rejections
+from nickelslip.admission.request_transitions import RequestTransitions
 from nickelslip.admission.retry_after import RetryAfter
 from nickelslip.admission.starved_classes import StarvedClasses
 from nickelslip.admission.tenant_quotas import TenantQuotas
 from nickelslip.admission.tracked_request import TrackedRequest, TrackedRequests
 
-# A request that enters a final state from one of these has no active run and is removed at once. From any other state
-# it becomes ORPHANED until the server reports that its run has ended.
-STATES_WITHOUT_ACTIVE_RUN = (RequestState.QUEUED, RequestState.COALESCED, RequestState.PAUSED)
 STATE_AFTER_RUN = {Outcome.OK: RequestState.COMPLETED, Outcome.ERROR: RequestState.FAILED}
 
 STATISTICS_WINDOW_PER_OBJECTIVE = 2.0  # window of the recent means, as a multiple of the longest latency objective
@@ -89,6 +86,10 @@
         self._records = RecordRetention(settings, self._idempotency_records, self._memory)
         self._dispatcher = Dispatcher(settings, self._requests, self._memory)
         self._dependency_usage = DependencyUsage(settings, self._window_ms, now_ms)
+        self._transitions = RequestTransitions(self._requests, self._records, self._dependency_usage, self._quotas)
+        self._rejections = Rejections(
+            self._requests, self._transitions, self._retry_after, self._interval, self._concurrency, self._drain
+        )
         self._dependency_limit = DependencyLimit(settings, self._window_ms, self._overload, now_ms)
         self._dependency_calls = DependencyCalls(
             self._requests, self._deadlines, self._dependency_limit, self._dependency_usage, now_ms
@@ -135,7 +136,7 @@
             request.useful_until_ms -= age_ms
         self._priority.set_priority(now_ms, request, arrival)
         if received_at_ms > self._drain.grace_ends_at_ms:
-            self._reject(now_ms, request)
+            self._rejections.reject(now_ms, request)
         else:
             self._admit(now_ms, request, arrival, has_to_queue, age_ms)
         return self._apply_rules(now_ms)
@@ -154,7 +155,7 @@
         if request is None:
             return self._apply_rules(now_ms)
         if outcome is Outcome.CANCELLED and request.state in (RequestState.RUNNING, RequestState.DEGRADED):
-            self._transition(now_ms, request, RequestState.QUEUED, notify=False)
+            self._transitions.enter(now_ms, request, RequestState.QUEUED, notify=False)
             return self._apply_rules(now_ms)
         if outcome is Outcome.OK and request.has_run and request.state is not RequestState.DEGRADED:
             core_ms = max(0.0, took_ms - request.time_in_calls_ms)
@@ -162,7 +163,7 @@
         if outcome.proves_not_executed:
             self._records.run_not_started(request)
         state = STATE_AFTER_RUN.get(outcome, RequestState.CANCELLED)
-        self._transition(now_ms, request, state, notify=False, has_run_ended=True)
+        self._transitions.enter(now_ms, request, state, notify=False, has_run_ended=True)
         return self._apply_rules(now_ms)
 
     def call_requested(self, now_ms: float, request_id: int) -> Decisions:
@@ -171,9 +172,9 @@
         if request is None:
             return self._apply_rules(now_ms)
         if request.state is RequestState.ORPHANED:  # its result is no longer needed, so the run ends here
-            self._transition(now_ms, request, RequestState.CANCELLED, notify=False, has_run_ended=True)
+            self._transitions.enter(now_ms, request, RequestState.CANCELLED, notify=False, has_run_ended=True)
         elif request.state in (RequestState.RUNNING, RequestState.DEGRADED):
-            self._transition(now_ms, request, RequestState.AWAITING_CALL, notify=False)
+            self._transitions.enter(now_ms, request, RequestState.AWAITING_CALL, notify=False)
             request.call_phase_began_at_ms = now_ms
             request.call_not_before_ms = -inf
         return self._apply_rules(now_ms)
@@ -200,7 +201,7 @@
         """Handle the disconnect of a client, whose request no longer needs an answer."""
         request = self._requests.by_id.get(request_id)
         if request is not None and request.state is not RequestState.ORPHANED:
-            self._transition(now_ms, request, RequestState.CANCELLED, notify=False)
+            self._transitions.enter(now_ms, request, RequestState.CANCELLED, notify=False)
         return self._apply_rules(now_ms)
 
     def drain(self, now_ms: float, kill_at_ms: float) -> Decisions:
@@ -255,6 +256,7 @@
         self._enforce_memory_budget(now_ms)
         decisions = self._decisions
         self._decisions = Decisions()
+        decisions.state_changes = self._transitions.take_changes()
         decisions.idempotency_updates = self._idempotency_records.take_updates()
         decisions.advertised_weight = self._weight.take_change(now_ms, self._drain)
         decisions.wake_in_ms = self._schedule_wake(now_ms)
@@ -281,7 +283,7 @@
         for request in self._requests.orphaned.values():
             if now_ms - request.stop_requested_at_ms >= ADJUSTMENT_INTERVAL_MS:
                 request.stop_requested_at_ms = now_ms
-                self._decisions.state_changes.append(StateChange(request.id, RequestState.ORPHANED))
+                self._transitions.request_stop(request)
 
     def _answer_due_requests(self, now_ms: float) -> None:
         """Answer requests whose answer is due, and queued requests that can no longer finish in time."""
@@ -294,22 +296,22 @@
             if self._deadlines.is_due(now_ms, request) or is_late_if_started_now(
                 now_ms, request, has_contention, self._deadlines
             ):
-                self._reject_or_fail_queued(now_ms, request)
+                self._rejections.reject_or_fail_queued(now_ms, request)
         if self._deadlines.is_any_due(now_ms):
             for request in self._deadlines.due_requests(now_ms, requests):
-                self._transition(now_ms, request, RequestState.FAILED)
+                self._transitions.enter(now_ms, request, RequestState.FAILED)
             self._deadlines.update_next_due(requests)
 
     def _start_calls(self, now_ms: float) -> None:
         """Let waiting requests call the dependency, continue without their call, or fail."""
         for decision in self._dependency_calls.decide(now_ms, self._overload.safe_concurrency(now_ms)):
-            self._transition(now_ms, decision.request, decision.state, duration_ms=decision.timeout_ms)
+            self._transitions.enter(now_ms, decision.request, decision.state, duration_ms=decision.timeout_ms)
 
     def _start_queued(self, now_ms: float) -> None:
         """Start queued requests while slots are free."""
         safe_concurrency = self._overload.safe_concurrency(now_ms)
         for request in self._dispatcher.requests_to_start(self._concurrency.limit, safe_concurrency):
-            self._transition(now_ms, request, RequestState.RUNNING)
+            self._transitions.enter(now_ms, request, RequestState.RUNNING)
 
     def _enforce_memory_budget(self, now_ms: float) -> None:
         """Reject or fail requests until the others fit into memory.
@@ -319,9 +321,9 @@
         """
         for request in self._memory.excess_requests():
             if request.state is RequestState.QUEUED:
-                self._reject(now_ms, request)
+                self._rejections.reject(now_ms, request)
             else:
-                self._transition(now_ms, request, RequestState.FAILED)
+                self._transitions.enter(now_ms, request, RequestState.FAILED)
 
     def _schedule_wake(self, now_ms: float) -> float | None:
         """Return the time until the next wake-up, or None if an earlier or equal one is already scheduled."""
@@ -350,13 +352,13 @@
         queue and its tenant is over its quota; it is predicted to be answered too late to be useful.
         """
         if self._records.should_coalesce(request, arrival):
-            self._transition(now_ms, request, RequestState.COALESCED)
+            self._transitions.enter(now_ms, request, RequestState.COALESCED)
             return
         if not self._records.record_arrival(now_ms, request, arrival):
-            self._reject(now_ms, request)
+            self._rejections.reject(now_ms, request)
             return
         if has_to_queue and request.within_quota_fraction < 1:  # other servers enforce the quota, too
-            self._reject(now_ms, request, retry_elsewhere_useless=True)
+            self._rejections.reject(now_ms, request, retry_elsewhere_useless=True)
             return
         if has_to_queue:
             is_late = is_predicted_late(
@@ -366,96 +368,15 @@
             is_late = is_late_if_started_now(now_ms, request, has_contention=False, deadlines=self._deadlines)
         if is_late:
             is_useless = is_retry_elsewhere_useless(arrival, age_ms, self._weight.weight)
-            self._reject(now_ms, request, retry_elsewhere_useless=is_useless)
+            self._rejections.reject(now_ms, request, retry_elsewhere_useless=is_useless)
 
     def _finish_call(self, now_ms: float, request: TrackedRequest, outcome: Outcome, took_ms: float) -> None:
-        self._dependency_usage.accumulate_until(now_ms, len(self._requests.call_in_flight))
-        if outcome is Outcome.TIMEOUT:
-            self._dependency_usage.record_abandoned(now_ms)
-        if not outcome.proves_not_executed:
-            self._dependency_limit.record_call(now_ms, took_ms, self._interval.last_read_delay_ms)
-        request.time_in_calls_ms = request.time_in_calls_ms + now_ms - request.call_phase_began_at_ms
-        request.call_phase_began_at_ms = now_ms
-        self._dependency_calls.suspend_optional_calls_if_slow(now_ms, request)
+        self._dependency_calls.record_return(now_ms, request, outcome, took_ms, self._interval.last_read_delay_ms)
         if outcome is Outcome.OK:
-            self._transition(now_ms, request, RequestState.RUNNING, notify=False)
-            return
-        self._transition(now_ms, request, RequestState.AWAITING_CALL, notify=False)
-        if outcome.proves_not_executed:  # wait, because an overloaded dependency needs fewer calls
-            request.call_not_before_ms = now_ms + self._dependency_limit.call_duration_ms.mean(now_ms)
+            self._transitions.enter(now_ms, request, RequestState.RUNNING, notify=False)
             return
-        request.call_not_before_ms = -inf
-        if not request.statistics.is_idempotent:  # the call may have run, and must not run twice
+        self._transitions.enter(now_ms, request, RequestState.AWAITING_CALL, notify=False)
+        self._dependency_calls.schedule_retry(now_ms, request, outcome)
+        if not outcome.proves_not_executed and not request.statistics.is_idempotent:  # it must not run twice
             is_optional = request.statistics.is_call_optional
-            self._transition(now_ms, request, RequestState.DEGRADED if is_optional else RequestState.FAILED)
-
-    def _reject_or_fail_queued(self, now_ms: float, request: TrackedRequest) -> None:
-        """Answer a queued request: fail it if it has run and must not run on another server, else reject it."""
-        if request.has_run and not request.statistics.is_idempotent:
-            self._transition(now_ms, request, RequestState.FAILED)
-        else:
-            self._reject(now_ms, request)
-
-    def _reject(self, now_ms: float, request: TrackedRequest, retry_elsewhere_useless: bool = False) -> None:
-        """Reject a request, with a Retry-After delay."""
-        self._interval.rejection_count += 1
-        delay_ms = self._retry_after.delay_ms(
-            now_ms,
-            self._interval.last_read_delay_ms,
-            self._requests.queued_run_ms(),
-            self._concurrency.limit,
-            self._drain,
-        )
-        self._transition(
-            now_ms,
-            request,
-            RequestState.REJECTED,
-            duration_ms=delay_ms,
-            retry_elsewhere_useless=retry_elsewhere_useless and not self._drain.is_draining(now_ms),
-        )
-
-    def _transition(
-        self,
-        now_ms: float,
-        request: TrackedRequest,
-        state: RequestState,
-        *,
-        duration_ms: float = 0.0,
-        retry_elsewhere_useless: bool = False,
-        notify: bool = True,
-        has_run_ended: bool = False,
-    ) -> None:
-        """Change the state of a request. All state changes go through this method.
-
-        Args:
-            now_ms: The current time.
-            request: The request.
-            state: The new state. If it is final but the run has not ended, the request becomes ORPHANED instead.
-            duration_ms: REJECTED: the Retry-After delay; CALL_IN_FLIGHT: the timeout of the call.
-            retry_elsewhere_useless: REJECTED: whether a retry on another server would not help.
-            notify: Whether the server has to act on the change; False if the server reported the change itself.
-            has_run_ended: Whether the server has reported that the request no longer occupies a core.
-        """
-        previous = request.state
-        is_final = state in FINAL_STATES
-        if notify:
-            self._decisions.state_changes.append(StateChange(request.id, state, duration_ms, retry_elsewhere_useless))
-        if previous is RequestState.CALL_IN_FLIGHT:
-            self._dependency_usage.accumulate_until(now_ms, len(self._requests.call_in_flight))
-            if is_final:
-                self._dependency_usage.record_abandoned(now_ms)
-        del self._requests.by_state[previous][request.id]
-        if is_final and (has_run_ended or previous in STATES_WITHOUT_ACTIVE_RUN):
-            self._records.request_ended(request, state)
-            del self._requests.by_id[request.id]
-            return
-        if previous is RequestState.QUEUED and state is RequestState.RUNNING:
-            self._record_start(now_ms, request)
-        request.state = RequestState.ORPHANED if is_final else state
-        self._requests.by_state[request.state][request.id] = request
-
-    def _record_start(self, now_ms: float, request: TrackedRequest) -> None:
-        request.started_at_ms = now_ms
-        request.has_run = True
-        request.statistics.record_start(now_ms)
-        self._quotas.record_start(now_ms, request.tenant)
+            self._transitions.enter(now_ms, request, RequestState.DEGRADED if is_optional else RequestState.FAILED)
--- a/nickelslip/admission/dependency_calls.py
+++ b/nickelslip/admission/dependency_calls.py
@@ -12,7 +12,7 @@
 from nickelslip.admission.answer_deadlines import AnswerDeadlines
 from nickelslip.admission.dependency_limit import DependencyLimit
 from nickelslip.admission.dependency_usage import DependencyUsage
-from nickelslip.admission.interface import RequestState
+from nickelslip.admission.interface import Outcome, RequestState
 from nickelslip.admission.tracked_request import TrackedRequest, TrackedRequests
 
 MAX_CALL_WAIT_FRACTION = 1 / 8  # the longest wait for an optional call, as a fraction of the latency objective
@@ -67,6 +67,37 @@
         if time_in_calls_ms > SUSPEND_OPTIONAL_AFTER_FRACTION * statistics.latency_objective_ms:
             self._optional_calls_suspended_until_ms = now_ms + statistics.latency_objective_ms
 
+    def record_return(
+        self, now_ms: float, request: TrackedRequest, outcome: Outcome, took_ms: float, read_delay_ms: float
+    ) -> None:
+        """Record the end of a call that was in flight.
+
+        Args:
+            now_ms: The current time.
+            request: The request that made the call.
+            outcome: How the call ended.
+            took_ms: The duration of the call.
+            read_delay_ms: How long the last request waited until this server read it.
+        """
+        self._usage.accumulate_until(now_ms, len(self._requests.call_in_flight))
+        if outcome is Outcome.TIMEOUT:
+            self._usage.record_abandoned(now_ms)
+        if not outcome.proves_not_executed:
+            self._limit.record_call(now_ms, took_ms, read_delay_ms)
+        request.time_in_calls_ms = request.time_in_calls_ms + now_ms - request.call_phase_began_at_ms
+        request.call_phase_began_at_ms = now_ms
+        self.suspend_optional_calls_if_slow(now_ms, request)
+
+    def schedule_retry(self, now_ms: float, request: TrackedRequest, outcome: Outcome) -> None:
+        """Set when a call that failed may be made again.
+
+        After a call that was not executed the retry waits, because an overloaded dependency needs fewer calls.
+        """
+        if outcome.proves_not_executed:
+            request.call_not_before_ms = now_ms + self._limit.call_duration_ms.mean(now_ms)
+        else:
+            request.call_not_before_ms = -inf
+
     def decide(self, now_ms: float, safe_concurrency: float) -> Iterator[CallDecision]:
         """Yield decisions on waiting requests. Each must be carried out before the next one is requested.
 
