Split the states and the policy of a roll-out from its state machine

Change: rollout_states has the enums, the transition table and the policy, rollout the state machine; their text as it was. Imports of tests and benchmarks follow.

No behaviour changes.

--- a/benchmarks/capacity/rollout.py
+++ b/benchmarks/capacity/rollout.py
@@ -12,8 +12,9 @@
 
 from benchmarks.sample_statistics import percentile_by_ceiling_rank
 from nickelslip.configuration.config import ChangeRules
-from nickelslip.configuration.rollout import Action, Instruction, Rollout, RolloutPolicy, RolloutStatus
+from nickelslip.configuration.rollout import Rollout
 from nickelslip.configuration.rollout_runner import MAX_CONCURRENT_TARGETS, ROLLOUT_STATUS_WORDS
+from nickelslip.configuration.rollout_states import Action, Instruction, RolloutPolicy, RolloutStatus
 
 ADVANCE_INTERVAL_MS = 50.0  # between the times at which the command advances the roll-out
 MAX_ROLLOUT_MS = 600_000.0
--- a/benchmarks/capacity/run.py
+++ b/benchmarks/capacity/run.py
@@ -26,7 +26,7 @@
 from benchmarks.sample_statistics import percentile_by_floor_index
 from nickelslip.configuration.config import ChangeRules
 from nickelslip.configuration.control_client import ask_once
-from nickelslip.configuration.rollout import RolloutPolicy
+from nickelslip.configuration.rollout_states import RolloutPolicy
 
 HELD_CORE_COUNT, RATE_CORE_COUNT = 2, 64
 IDLE_S = 1.2
--- a/nickelslip/configuration/rollout_command.py
+++ b/nickelslip/configuration/rollout_command.py
@@ -12,13 +12,14 @@
 from nickelslip.configuration.command_options import JSON_OPTION
 from nickelslip.configuration.command_output import ExitCode, exit_with, print_result
 from nickelslip.configuration.command_requests import read_files
-from nickelslip.configuration.rollout import Rollout, RolloutPolicy, RolloutStatus
+from nickelslip.configuration.rollout import Rollout
 from nickelslip.configuration.rollout_runner import (
     ROLLOUT_STATUS_TEXTS,
     ROLLOUT_STATUS_WORDS,
     TARGET_STATE_WORDS,
     run_rollout,
 )
+from nickelslip.configuration.rollout_states import RolloutPolicy, RolloutStatus
 
 MAX_REPLY_TIMEOUT_MS = 5000.0  # for each reply
 
--- a/nickelslip/configuration/rollout_runner.py
+++ b/nickelslip/configuration/rollout_runner.py
@@ -11,14 +11,8 @@
 import anyio
 
 from nickelslip.configuration.control_client import ServerUnreachableError, ask_once
-from nickelslip.configuration.rollout import (
-    Action,
-    Instruction,
-    Rollout,
-    RolloutPolicy,
-    RolloutStatus,
-    TargetState,
-)
+from nickelslip.configuration.rollout import Rollout
+from nickelslip.configuration.rollout_states import Action, Instruction, RolloutPolicy, RolloutStatus, TargetState
 
 MAX_CONCURRENT_TARGETS = 16
 POLL_INTERVAL_S = 0.05
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -23,8 +23,9 @@
 from nickelslip.configuration.metrics_window import Baseline
 from nickelslip.configuration.plan import plan_of
 from nickelslip.configuration.request_metrics import BUCKET_MS, RequestMetrics
-from nickelslip.configuration.rollout import TRANSITIONS, Action, Rollout, RolloutPolicy, RolloutStatus, TargetState
+from nickelslip.configuration.rollout import Rollout
 from nickelslip.configuration.rollout_runner import ROLLOUT_STATUS_TEXTS, ROLLOUT_STATUS_WORDS, TARGET_STATE_WORDS
+from nickelslip.configuration.rollout_states import TRANSITIONS, Action, RolloutPolicy, RolloutStatus, TargetState
 from nickelslip.configuration.schema import Effect
 from nickelslip.configuration.start_selection import select_start
 from nickelslip.configuration.validation import InvalidDocumentError
--- a/tests/test_configuration_manager.py
+++ b/tests/test_configuration_manager.py
@@ -28,8 +28,9 @@
 from nickelslip.configuration.config import ChangeRules
 from nickelslip.configuration.control_protocol import FrameDecoder, encode_frame
 from nickelslip.configuration.request_metrics import RequestMetrics
-from nickelslip.configuration.rollout import Rollout, RolloutPolicy, RolloutStatus, TargetState
+from nickelslip.configuration.rollout import Rollout
 from nickelslip.configuration.rollout_runner import run_rollout
+from nickelslip.configuration.rollout_states import RolloutPolicy, RolloutStatus, TargetState
 from nickelslip.configuration.start_selection import select_start
 from nickelslip.configuration.store import HistoryStore
 from nickelslip.configuration.validation import InvalidDocumentError
