--- a/tests/support/fake_worker_pool.py
+++ b/tests/support/fake_worker_pool.py
@@ -18,6 +18,7 @@
 
     Attributes:
         send_lock: Held while a line is sent.
+        bound_stream: The link on which all earlier notifications have been sent; later ones are sent on it at once.
         seq: The sequence number of the last notification.
         notifications: All notifications sent. After a bind, those later than the bind's number are sent again.
         accepts_binds: An event that a test sets to let the pool answer bind commands.
@@ -29,6 +30,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.send_lock = anyio.Lock()
+        self.bound_stream: anyio.abc.SocketStream | None = None
         self.seq = 0
         self.notifications: list[dict[str, object]] = []
         self.accepts_binds = anyio.Event()
@@ -47,15 +49,19 @@
                 continue
             self.received.append(command)
             if command["op"] == "bind":
-                await self._bind(command["seq"])
+                await self._bind(stream, command["seq"])
         return rest
 
-    async def _bind(self, last_seq: int) -> None:
+    async def _bind(self, stream: anyio.abc.SocketStream, last_seq: int) -> None:
         await self.accepts_binds.wait()
         await self.send_line(op="bound", end="running", ms=self.age_ms)
-        for notification in self.notifications:
+        sent_count = 0
+        while sent_count < len(self.notifications):  # more may be added meanwhile
+            notification = self.notifications[sent_count]
+            sent_count += 1
             if notification["seq"] > last_seq:  # type: ignore[operator]
                 await self.send_line(**notification)
+        self.bound_stream = stream
 
     async def send_line(self, **line: object) -> None:
         """Send one line on the last link, if any."""
@@ -64,10 +70,12 @@
                 await self.stream.send(json.dumps(line).encode() + b"\n")
 
     async def notify(self, op: str, request_id: str, **fields: object) -> None:
-        """Send a notification with the next sequence number, and store it for later links."""
+        """Send a notification with the next sequence number if the link is bound, and store it for later links."""
         self.seq += 1
-        self.notifications.append({"op": op, "seq": self.seq, "id": request_id, **fields})
-        await self.send_line(**self.notifications[-1])
+        notification = {"op": op, "seq": self.seq, "id": request_id, **fields}
+        self.notifications.append(notification)
+        if self.stream is self.bound_stream:
+            await self.send_line(**notification)
 
     async def finish(self, request_id: str, end: str = "fine", body: bytes = b"result") -> None:
         """Notify the server that the run finished, with this outcome and result."""
