Take only whole JSON numbers for sequence numbers of the worker pool

What callers would see: after one notification with a text such as "7" for a number, the ones before it are passed over; a run of which one of them tells is never heard of again, and its request fails when it is due.

Cause: decode_envelope used int(), which takes texts, fractions and booleans, and decode_fragment read the digits of any of them.

Change: anything but a whole JSON number makes the line malformed, and its fragment is not used either.

--- a/nickelslip/server/worker_pool_notifications.py
+++ b/nickelslip/server/worker_pool_notifications.py
@@ -30,7 +30,8 @@
 }
 
 # The fields that attribute a notification to its run if it is not valid JSON.
-FRAGMENT_FIELDS = re.compile(rb'"(op|seq|id)"\s*:\s*"?(\w+)')
+FRAGMENT_FIELDS = re.compile(rb'"(op|id)"\s*:\s*"?(\w+)')
+FRAGMENT_SEQ = re.compile(rb'"seq"\s*:\s*(\d{1,20})\s*[,}]')
 
 
 class MalformedNotificationError(ValueError):
@@ -126,7 +127,7 @@
     with _wrapping_field_errors():
         fields = orjson.loads(line)
         op = fields["op"]
-        seq = int(fields["seq"]) if "seq" in fields else None
+        seq = _decode_seq(fields["seq"]) if "seq" in fields else None
         return Envelope(op, seq, fields)
 
 
@@ -151,12 +152,12 @@
 
 
 def decode_fragment(line: bytes) -> Fragment | None:
-    """Return the readable part of an invalid notification, or None if its sequence number is not a number."""
-    fields = {name: value.decode() for name, value in FRAGMENT_FIELDS.findall(line)}
-    try:
-        seq = int(fields.get(b"seq", "0"))
-    except ValueError:
+    """Return the readable part of an invalid notification, or None if its sequence number cannot be read."""
+    seq_match = FRAGMENT_SEQ.search(line)
+    if seq_match is None:
         return None
+    seq = int(seq_match[1])
+    fields = {name: value.decode() for name, value in FRAGMENT_FIELDS.findall(line)}
     try:
         return Fragment(seq, _decode_run_notification(fields.get(b"op", ""), fields[b"id"], seq, {}))
     except (KeyError, ValueError):
@@ -200,6 +201,17 @@
         return None
 
 
+def _decode_seq(value: Any) -> int:
+    """Return a sequence number.
+
+    Raises:
+        TypeError: The value is not a whole JSON number. After a text such as "7" notifications would be passed over.
+    """
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise TypeError(f"not a sequence number: {value!r}")
+    return value
+
+
 def _decode_number(value: Any) -> float:
     """Return a JSON number, which is always finite.
 
--- a/tests/server/test_worker_pool_numbers.py
+++ b/tests/server/test_worker_pool_numbers.py
@@ -43,6 +43,17 @@
         assert (await client.receive_answer())[:2] == (2, "done") and rig.server.phase is Phase.SERVING
 
 
+@pytest.mark.parametrize("seq", ("7", 7.0, True, None))
+async def test_a_sequence_number_that_is_not_a_whole_number_is_not_recorded(seq):
+    """Guards against notifications that are passed over because a text or a fraction was taken for a number."""
+    async with ServerRig() as rig:
+        client = await (await rig.wait_until_serving()).connect_client()
+        await rig.start_run(client, A)
+        await rig.pool.send_line(op="chatter", seq=seq, end="hello")
+        await rig.pool.finish(A)
+        assert (await client.receive_answer())[:2] == (1, "done") and rig.server.worker_pool.last_seq == 1
+
+
 @pytest.mark.parametrize("values", (["nan", 1, 0.1, 3], [0.5, 1, 0.1, "inf"], [True, 1, 0.1, 3]))
 def test_a_gauge_that_is_not_a_number_is_malformed(values):
     """Guards against NaN in the sums that the rules and the canary analysis keep."""
--- a/tests/support/hostile_numbers.py
+++ b/tests/support/hostile_numbers.py
@@ -96,6 +96,10 @@
             )
         )
         await self._rig.pool.send_line(**line)
+        self._follow_recorded_seq()
+
+    def _follow_recorded_seq(self) -> None:
+        """Go on after the last number that the server has recorded, since it passes over those before."""
         self._rig.pool.seq = max(self._rig.pool.seq, self._rig.server.worker_pool.last_seq)
 
     async def _end_hostile_runs(self) -> None:
@@ -121,6 +125,7 @@
     async def _check_served(self) -> None:
         """Serve one request of each class, with its call, while nothing else is open."""
         await self._wait_until_idle()
+        self._follow_recorded_seq()
         client = await self._rig.connect_client()
         for class_name in CLASSES:
             request_id = self._next_id(SERVED_ID_PREFIX)
