Fire an overdue timer before an event changes a request, not between change and report

Cause: the lifecycle made the state final, then DecisionExecutor.decide fired an overdue timer, which decided on the state before the event. It started a run of a request that was CANCELLED already, or made a call for one that had ended.

Now the overdue timer is fired before an event is handled, and the event is reported without a timer in between. The same holds for all four events of a request.

--- a/nickelslip/server/decision_executor.py
+++ b/nickelslip/server/decision_executor.py
@@ -73,10 +73,27 @@
         self.controller = None
 
     def decide(self, method: Callable[..., Decisions], *arguments: object) -> None:
-        """Call a method of the controller and execute its decisions.
+        """Fire an overdue timer, then call a method of the controller and execute its decisions.
 
-        An overdue timer is fired first, as if it had fired on time. An error raised by the controller fails the
-        server. Without a controller, all open requests are answered with a failure instead.
+        For events that have not changed the state of any request; see `decide_after_change`.
+
+        Args:
+            method: The method, as an attribute of `AdmissionController`.
+            *arguments: Its arguments after the current time.
+
+        Raises:
+            RuntimeError: If a call of the controller is already in progress.
+        """
+        self.fire_overdue_timer()
+        self.decide_after_change(method, *arguments)
+
+    def decide_after_change(self, method: Callable[..., Decisions], *arguments: object) -> None:
+        """Call a method of the controller and execute its decisions, without firing an overdue timer.
+
+        This reports an event that has changed the state of a request in the server already. A timer fired in between
+        would decide on the earlier state, for example start a request that has ended. `fire_overdue_timer` is called
+        before the change instead. An error raised by the controller fails the server. Without a controller, all open
+        requests are answered with a failure.
 
         Args:
             method: The method, as an attribute of `AdmissionController`.
@@ -90,8 +107,6 @@
             return
         if self._is_deciding:
             raise RuntimeError("the admission controller was called again before its previous call returned")
-        if self._wake_schedule.is_due:
-            self.fire_timer()
         self._is_deciding = True
         try:
             self._execute(method(self.controller, self.context.clock(), *arguments))
@@ -100,11 +115,16 @@
         finally:
             self._is_deciding = False
 
+    def fire_overdue_timer(self) -> None:
+        """Call the controller's timer if it is due, as if it had fired on time."""
+        if self.is_ready and self._wake_schedule.is_due:
+            self.fire_timer()
+
     def fire_timer(self) -> None:
         """Call the controller's timer with the gauges that have arrived since the previous call."""
         self._wake_schedule.clear()
         self.gauges = self.context.worker_pool.take_gauges() or Gauges()
-        self.decide(AdmissionController.timer_fired, self.gauges)
+        self.decide_after_change(AdmissionController.timer_fired, self.gauges)
 
     def _execute(self, decisions: Decisions) -> None:
         """Execute the decisions of one call in a fixed order.
--- a/nickelslip/server/interfaces.py
+++ b/nickelslip/server/interfaces.py
@@ -197,6 +197,9 @@
     def request_received(self, request: Request) -> None:
         """Report the arrival of a request."""
 
+    def fire_overdue_timer(self) -> None:
+        """Let the controller decide what it should have decided before the event that is about to be handled."""
+
     def run_ended(self, request: Request, outcome: Outcome, took_ms: float) -> None:
         """Report the end of the request's run, which took `took_ms`, calls included."""
 
--- a/nickelslip/server/request_lifecycle.py
+++ b/nickelslip/server/request_lifecycle.py
@@ -56,6 +56,10 @@
 
 
 def _handle_event(actions: RequestActions, sink: RequestEventSink, request: Request, event: RequestEvent) -> None:
+    """Handle one event, unless an overdue timer, which is fired first, has ended the request."""
+    sink.fire_overdue_timer()
+    if request.state in FINAL_STATES:
+        return
     match event:
         case CallRequested():
             _handle_call_requested(sink, request, event)
--- a/nickelslip/server/request_reports.py
+++ b/nickelslip/server/request_reports.py
@@ -27,6 +27,8 @@
 class RequestReports:
     """Reports each event of a request; the resulting decisions are executed before the report returns.
 
+    An event other than the arrival changes the state of its request. `fire_overdue_timer` is called before that.
+
     Args:
         clock: Returns the current time in milliseconds.
         executor: Calls the controller.
@@ -59,14 +61,18 @@
         arrival = request.received.to_arrival(request.number, self._clock(), original_number)
         self._executor.decide(AdmissionController.request_received, arrival)
 
+    def fire_overdue_timer(self) -> None:
+        """Let the controller decide what it should have decided before the event that is about to be handled."""
+        self._executor.fire_overdue_timer()
+
     def run_ended(self, request: Request, outcome: Outcome, took_ms: float) -> None:
         """Report the end of the request's run, which took `took_ms`, calls included."""
         request.run_ms = took_ms
-        self._executor.decide(AdmissionController.run_ended, request.number, outcome, took_ms)
+        self._executor.decide_after_change(AdmissionController.run_ended, request.number, outcome, took_ms)
 
     def call_requested(self, request: Request) -> None:
         """Report that the request's run is blocked at a call."""
-        self._executor.decide(AdmissionController.call_requested, request.number)
+        self._executor.decide_after_change(AdmissionController.call_requested, request.number)
 
     def call_returned(self, request: Request, outcome: Outcome, took_ms: float) -> None:
         """Report the end of the run's call, which took `took_ms`."""
@@ -75,9 +81,9 @@
             self._slow_start.call_answered(self._clock(), took_ms if outcome is Outcome.OK else inf)
         elif outcome is not Outcome.NOT_STARTED:
             self._slow_start.call_failed(self._clock())
-        self._executor.decide(AdmissionController.call_returned, request.number, outcome, took_ms)
+        self._executor.decide_after_change(AdmissionController.call_returned, request.number, outcome, took_ms)
         self._call_limit.update()
 
     def client_disconnected(self, request: Request) -> None:
         """Report that the request's client has disconnected."""
-        self._executor.decide(AdmissionController.client_disconnected, request.number)
+        self._executor.decide_after_change(AdmissionController.client_disconnected, request.number)
