Log crowded cores, with the way in which each run came onto them

TrackedRequest.core_entry is set where a state changes, by a table; the controller reports it, and the server logs the 1st, 2nd, 4th ... crowded timer. No rule reads it.

--- a/nickelslip/admission/controller.py
+++ b/nickelslip/admission/controller.py
@@ -17,6 +17,7 @@
 from nickelslip.admission.attempt_age import request_age_ms
 from nickelslip.admission.class_statistics import ClassStatistics
 from nickelslip.admission.concurrency_limit import ConcurrencyLimit
+from nickelslip.admission.core_occupancy import CoreOccupancy, core_occupancy
 from nickelslip.admission.dependency_calls import DependencyCalls
 from nickelslip.admission.dependency_limit import DependencyLimit
 from nickelslip.admission.dependency_usage import DependencyUsage
@@ -245,6 +246,10 @@
             self._concurrency.adjust(self._interval, has_queue=bool(self._requests.queued))
         return self._apply_rules(now_ms)
 
+    def core_occupancy(self, now_ms: float) -> CoreOccupancy:
+        """Return which runs are on the cores now, and how each came there."""
+        return core_occupancy(now_ms, self._requests, self._overload)
+
     def _apply_rules(self, now_ms: float) -> Decisions:
         """Apply the rules that follow every event, in a fixed order, and return the decisions since the last event."""
         if now_ms >= self._interval.ends_at_ms:
--- a/nickelslip/admission/request_transitions.py
+++ b/nickelslip/admission/request_transitions.py
@@ -6,13 +6,23 @@
 from nickelslip.admission.interface import FINAL_STATES, RequestState, StateChange
 from nickelslip.admission.record_retention import RecordRetention
 from nickelslip.admission.tenant_quotas import TenantQuotas
-from nickelslip.admission.tracked_request import TrackedRequest, TrackedRequests
+from nickelslip.admission.tracked_request import CoreEntry, TrackedRequest, TrackedRequests
 
 # A request that enters a final state from one of these has no active run and is removed at once. From any other state
 # it becomes ORPHANED until the server reports that its run has ended.
 STATES_WITHOUT_ACTIVE_RUN = (RequestState.QUEUED, RequestState.COALESCED, RequestState.PAUSED)
 
 
+# Other changes of state leave the entry as it is: an orphaned run stays on the cores as it came there.
+CORE_ENTRIES = {
+    (RequestState.QUEUED, RequestState.RUNNING): CoreEntry.STARTED,
+    (RequestState.CALL_IN_FLIGHT, RequestState.RUNNING): CoreEntry.RESUMED_WITH_REPLY,
+    (RequestState.AWAITING_CALL, RequestState.DEGRADED): CoreEntry.RESUMED_WITHOUT_CALL,
+    (RequestState.AWAITING_CALL, RequestState.ORPHANED): CoreEntry.ORPHANED_AT_CALL,
+    (RequestState.CALL_IN_FLIGHT, RequestState.ORPHANED): CoreEntry.ORPHANED_AT_CALL,
+}
+
+
 class RequestTransitions:
     """Changes the states of requests. No other code does.
 
@@ -82,6 +92,7 @@
         if previous is RequestState.QUEUED and state is RequestState.RUNNING:
             self._record_start(now_ms, request)
         request.state = RequestState.ORPHANED if is_final else state
+        request.core_entry = CORE_ENTRIES.get((previous, request.state), request.core_entry)
         self._requests.by_state[request.state][request.id] = request
 
     def _record_start(self, now_ms: float, request: TrackedRequest) -> None:
--- a/nickelslip/admission/tracked_request.py
+++ b/nickelslip/admission/tracked_request.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from math import inf
 from operator import attrgetter
 
@@ -11,6 +12,15 @@
 START_ORDER = attrgetter("priority_key")  # sort key: the most urgent request comes first
 
 
+class CoreEntry(Enum):
+    """How a run came onto the cores, or to be counted as on them."""
+
+    STARTED = "it was started"
+    RESUMED_WITH_REPLY = "its dependency call returned"
+    RESUMED_WITHOUT_CALL = "it continues without its dependency call"
+    ORPHANED_AT_CALL = "its request was answered or cancelled at a call, and its run has not ended"
+
+
 class TrackedRequest:
     """An open request: it is tracked from its arrival until it is answered and its run has ended."""
 
@@ -25,6 +35,7 @@
         "useful_until_ms",
         "state",
         "has_run",
+        "core_entry",
         "started_at_ms",
         "time_in_calls_ms",
         "call_phase_began_at_ms",
@@ -54,6 +65,7 @@
         )
         self.state = RequestState.QUEUED
         self.has_run = False
+        self.core_entry: CoreEntry | None = None  # how its run last came onto the cores
         self.started_at_ms = now_ms
         self.time_in_calls_ms = 0.0  # total so far, including the wait for permission
         self.call_phase_began_at_ms = now_ms  # AWAITING_CALL or CALL_IN_FLIGHT: start of the current phase
--- a/nickelslip/server/decision_executor.py
+++ b/nickelslip/server/decision_executor.py
@@ -20,6 +20,7 @@
     StateChange,
 )
 from nickelslip.server.advertised_state import AdvertisedState
+from nickelslip.server.core_occupancy_log import CoreOccupancyLog
 from nickelslip.server.lifecycle import Lifecycle
 from nickelslip.server.requests import fail_requests
 from nickelslip.server.state_changes import execute_state_change
@@ -57,6 +58,7 @@
         self._advertised = advertised
         self._wake_schedule = wake_schedule
         self._lifecycle = lifecycle
+        self._occupancy_log = CoreOccupancyLog(context.log)
         self._is_deciding = False
 
     @property
@@ -125,6 +127,8 @@
         self._wake_schedule.clear()
         self.gauges = self.context.worker_pool.take_gauges() or Gauges()
         self.decide_after_change(AdmissionController.timer_fired, self.gauges)
+        if self.controller is not None:
+            self._occupancy_log.report(self.controller.core_occupancy(self.context.clock()))
 
     def _execute(self, decisions: Decisions) -> None:
         """Execute the decisions of one call in a fixed order.
