Let a run go on without its call only while the cores have room

Cause: requests waited for permission to make an optional call, behind one that was never answered. When optional calls were suspended, DependencyCalls.decide let all of them go on at once, and nothing asked whether the cores had room.

Going on without a call asks now what a start and a call ask: fewer on the cores or in flight than are safe, and fewer on the cores than max_concurrency. The rest wait, and are answered when due.

--- a/nickelslip/admission/concurrency_limit.py
+++ b/nickelslip/admission/concurrency_limit.py
@@ -13,7 +13,7 @@
 class ConcurrencyLimit:
     """The concurrency limit. Requests that wait for a call or have one in flight do not count towards it."""
 
-    __slots__ = ("limit", "effective_slots", "_core_count", "_max_concurrency")
+    __slots__ = ("limit", "effective_slots", "max_concurrency", "_core_count")
 
     def __init__(self, settings: Settings) -> None:
         self.limit = float(settings.core_count)
@@ -23,7 +23,7 @@
     def apply_settings(self, settings: Settings) -> None:
         """Read the bounds of the limit from the settings."""
         self._core_count = settings.core_count
-        self._max_concurrency = settings.max_concurrency
+        self.max_concurrency = settings.max_concurrency
         self.limit = min(self.limit, settings.max_concurrency)
 
     def adjust(self, interval: IntervalMeasurements, has_queue: bool) -> None:
@@ -37,7 +37,7 @@
             self.limit += 1
         elif self.limit > self._core_count:
             self.limit -= 1
-        self.limit = min(self.limit, self._max_concurrency)
+        self.limit = min(self.limit, self.max_concurrency)
 
     def count_effective_slots(self, now_ms: float, requests: TrackedRequests) -> None:
         """Count the usable slots, which are all except those held by a stalled run.
--- a/nickelslip/admission/controller.py
+++ b/nickelslip/admission/controller.py
@@ -309,7 +309,8 @@
 
     def _start_calls(self, now_ms: float) -> None:
         """Let waiting requests call the dependency, continue without their call, or fail."""
-        for decision in self._dependency_calls.decide(now_ms, self._overload.safe_concurrency(now_ms)):
+        safe_concurrency = self._overload.safe_concurrency(now_ms)
+        for decision in self._dependency_calls.decide(now_ms, safe_concurrency, self._concurrency.max_concurrency):
             self._transitions.enter(now_ms, decision.request, decision.state, duration_ms=decision.timeout_ms)
 
     def _start_queued(self, now_ms: float) -> None:
--- a/nickelslip/admission/dependency_calls.py
+++ b/nickelslip/admission/dependency_calls.py
@@ -98,14 +98,17 @@
         else:
             request.call_not_before_ms = -inf
 
-    def decide(self, now_ms: float, safe_concurrency: float) -> Iterator[CallDecision]:
+    def decide(self, now_ms: float, safe_concurrency: float, max_concurrency: float) -> Iterator[CallDecision]:
         """Yield decisions on waiting requests. Each must be carried out before the next one is requested.
 
         While all call slots are in use, the waiting requests are scanned only at events at which the queue is scanned.
+        A request that is to continue without its call waits on while there is no room on the cores, at most until its
+        answer is due.
 
         Args:
             now_ms: The current time.
             safe_concurrency: How many requests may be on the cores or have a call in flight.
+            max_concurrency: How many requests may be on the cores by the settings.
         """
         if not self._requests.awaiting_call:
             return
@@ -122,7 +125,8 @@
             wait_ms = waiting_ahead_count * mean_call_ms / call_limit + pause_ms
             self.suspend_optional_calls_if_slow(now_ms, request)
             if self._should_skip_call(now_ms, request, remaining_ms < mean_call_ms, wait_ms):
-                yield CallDecision(request, RequestState.DEGRADED)
+                if self._has_core_room(safe_concurrency) and self._requests.on_core_count() < max_concurrency:
+                    yield CallDecision(request, RequestState.DEGRADED)
             elif remaining_ms <= 0 and request.statistics.is_idempotent:
                 yield CallDecision(request, RequestState.FAILED)
             elif request.call_not_before_ms <= now_ms and self._limit.next_call_at_ms <= now_ms:
@@ -166,10 +170,14 @@
         occupied_count = len(self._requests.call_in_flight) + self._usage.lingering_count
         return occupied_count + 1 <= max(1.0, self._limit.limit)
 
+    def _has_core_room(self, safe_concurrency: float) -> bool:
+        """Whether another run fits onto the cores, even if all calls in flight return, which nothing can prevent."""
+        active_count = self._requests.on_core_count() + len(self._requests.call_in_flight)
+        return active_count < safe_concurrency
+
     def _can_start_call(self, safe_concurrency: float) -> bool:
         """Whether another call is within the limit, and its request can return to the cores without overload."""
-        active_count = self._requests.on_core_count() + len(self._requests.call_in_flight)
-        return self._has_free_call_slot() and active_count < safe_concurrency
+        return self._has_free_call_slot() and self._has_core_room(safe_concurrency)
 
     def _max_duration_ms(self, now_ms: float) -> float:
         in_flight = self._requests.call_in_flight.values()
--- a/tests/support/admission_model.py
+++ b/tests/support/admission_model.py
@@ -232,7 +232,8 @@
             cold = bounds.cold_speed_fraction
             warm_fraction = min(1.0, cold + (1 - cold) * self.now_ms / bounds.warm_up_ms)
         max_running = bounds.core_count * (1 + (bounds.overload_concurrency_per_core - 1) * warm_fraction)
-        assert len(self.ids_in(Stage.RUNNING)) <= max_running + TOLERANCE
+        returning = self.ids_in(Stage.CALL_IN_FLIGHT)  # onto the cores, without asking
+        assert len(self.ids_in(Stage.RUNNING)) + len(returning) <= max_running + TOLERANCE, "the cores are crowded"
 
     def _check_memory_and_answers(self) -> None:
         bounds = self._bounds
