Count the time already waited towards the longest wait for an optional call

Cause: MAX_CALL_WAIT_FRACTION was compared with the predicted wait alone, the requests ahead times the mean duration of a call. That is 34 ms at first, whatever the call in flight takes. Now a request goes on without its call once it has waited that long.

--- a/nickelslip/admission/dependency_calls.py
+++ b/nickelslip/admission/dependency_calls.py
@@ -160,10 +160,16 @@
         return end_ms - self._deadlines.margin_ms - now_ms - request.expected_run_ms / 2
 
     def _should_skip_call(self, now_ms: float, request: TrackedRequest, is_late: bool, wait_ms: float) -> bool:
+        """Whether a request continues without its call.
+
+        The time that it has waited counts as well as the predicted wait, which is too short while calls in flight take
+        far longer than the mean.
+        """
         statistics = request.statistics
         if not statistics.is_call_optional:
             return False
-        is_wait_long = wait_ms > MAX_CALL_WAIT_FRACTION * statistics.latency_objective_ms
+        waited_ms = now_ms - request.call_phase_began_at_ms
+        is_wait_long = max(waited_ms, wait_ms) > MAX_CALL_WAIT_FRACTION * statistics.latency_objective_ms
         return is_late or is_wait_long or now_ms < self._optional_calls_suspended_until_ms
 
     def _has_free_call_slot(self) -> bool:
--- a/tests/test_core_bound.py
+++ b/tests/test_core_bound.py
@@ -64,6 +64,16 @@
     return model.requests[request_id].stage is Stage.RUNNING
 
 
+def test_an_optional_call_is_not_waited_for_longer_than_an_eighth_of_the_objective():
+    """Guards against review/2: the predicted wait is short, but the call in flight is never answered."""
+    model = AdmissionModel(build_settings(dependency_concurrency_share=1.2))
+    receive_until_at_call(model, READ, 2)
+    model.advance(120)
+    assert model.ids_in(Stage.AWAITING_CALL) == [2]
+    model.advance(100)  # there is no event, and the timer fires once per interval
+    assert model.ids_in(Stage.RUNNING) == [2]
+
+
 @pytest.mark.parametrize("starts_cold", (True, False))
 @pytest.mark.parametrize("retry_safety", RetrySafety)
 @pytest.mark.parametrize("degraded_value_fraction", (0.0, 0.5))
