Let the watch of generations follow the method through which every decision goes

The watch wraps decide_after_change, through which decide goes as well, so that it sees as many events as before. Both files of tests pass.

--- a/benchmarks/generation_watch.py
+++ b/benchmarks/generation_watch.py
@@ -83,7 +83,7 @@
 def install(watch: GenerationWatch) -> None:
     """Call the watch at each adoption of settings, and before and after each decision about a request."""
     adopt = AdmissionController._adopt_settings
-    decide = DecisionExecutor.decide
+    decide = DecisionExecutor.decide_after_change
 
     def adopt_and_record(controller: AdmissionController, settings: Settings) -> None:
         adopt(controller, settings)
@@ -98,7 +98,7 @@
             watch.record_event(executor, number)
 
     AdmissionController._adopt_settings = adopt_and_record  # type: ignore[method-assign, assignment]
-    DecisionExecutor.decide = decide_and_record  # type: ignore[method-assign, assignment]
+    DecisionExecutor.decide_after_change = decide_and_record  # type: ignore[method-assign, assignment]
 
 
 def main() -> None:
--- a/tests/test_configuration_manager.py
+++ b/tests/test_configuration_manager.py
@@ -58,7 +58,7 @@
 @pytest.fixture
 def generation_watch(monkeypatch):
     """Return a watch that records under which generations each request is processed."""
-    for patched_class, name in ((AdmissionController, "_adopt_settings"), (DecisionExecutor, "decide")):
+    for patched_class, name in ((AdmissionController, "_adopt_settings"), (DecisionExecutor, "decide_after_change")):
         monkeypatch.setattr(patched_class, name, getattr(patched_class, name))  # restored after the test
     watch = GenerationWatch()
     install(watch)
@@ -134,7 +134,7 @@
         )
         statistics = controller._classes["pay"]
         assert statistics.latency_objective_ms == 400.0 and isinstance(statistics, ClassStatistics)
-        assert controller._concurrency._max_concurrency == 2
+        assert controller._concurrency.max_concurrency == 2
 
 
 # Sequences of changes
