Split the admission controller, the change manager and the schema

Arrivals, forced endings, returned calls and wake-ups are modules of their own now, with the lines as they were; the types of the fields, the results of changes and the confirmed generations too.

--- a/nickelslip/admission/class_statistics.py
+++ b/nickelslip/admission/class_statistics.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable, Mapping
+
 from nickelslip.admission.estimators import ClientTimeoutHistogram, RecentMean, SlidingWindowSum
 from nickelslip.admission.interface import RetrySafety, TrafficClass
 
@@ -98,3 +100,16 @@
         if cost_hint_ms is None:
             return self.run_ms.mean(now_ms)
         return cost_hint_ms * self.run_ms_per_hinted_ms.mean(now_ms)
+
+
+def statistics_by_class(
+    traffic_classes: Iterable[TrafficClass], window_ms: float, previous: Mapping[str, ClassStatistics]
+) -> dict[str, ClassStatistics]:
+    """Return the statistics of each class by its name; those that it has collected before are kept."""
+    statistics_by_name = {}
+    for traffic_class in traffic_classes:
+        statistics = ClassStatistics(traffic_class, window_ms)
+        if traffic_class.name in previous:
+            statistics.inherit(previous[traffic_class.name])
+        statistics_by_name[traffic_class.name] = statistics
+    return statistics_by_name
--- a/nickelslip/admission/controller.py
+++ b/nickelslip/admission/controller.py
@@ -14,8 +14,10 @@
 
 from nickelslip.admission.advertised_weight import AdvertisedWeight
 from nickelslip.admission.answer_deadlines import AnswerDeadlines
+from nickelslip.admission.arrival_admission import ArrivalAdmission
 from nickelslip.admission.attempt_age import request_age_ms
-from nickelslip.admission.class_statistics import ClassStatistics
+from nickelslip.admission.call_returns import CallReturns
+from nickelslip.admission.class_statistics import ClassStatistics, statistics_by_class
 from nickelslip.admission.concurrency_limit import ConcurrencyLimit
 from nickelslip.admission.core_occupancy import CoreOccupancy, core_occupancy
 from nickelslip.admission.dependency_calls import DependencyCalls
@@ -23,11 +25,7 @@
 from nickelslip.admission.dependency_usage import DependencyUsage
 from nickelslip.admission.dispatch import Dispatcher
 from nickelslip.admission.drain_schedule import DrainSchedule
-from nickelslip.admission.early_rejection import (
-    is_late_if_started_now,
-    is_predicted_late,
-    is_retry_elsewhere_useless,
-)
+from nickelslip.admission.forced_endings import ForcedEndings
 from nickelslip.admission.idempotency_records import IdempotencyRecords
 from nickelslip.admission.idle_connections import IdleConnectionTimeout
 from nickelslip.admission.interface import (
@@ -40,7 +38,7 @@
     RequestState,
     Settings,
 )
-from nickelslip.admission.interval_measurements import ADJUSTMENT_INTERVAL_MS, IntervalMeasurements
+from nickelslip.admission.interval_measurements import IntervalMeasurements
 from nickelslip.admission.memory_budget import MemoryBudget
 from nickelslip.admission.overload_concurrency import OverloadConcurrency
 from nickelslip.admission.queue_priority import QueuePriority
@@ -51,6 +49,7 @@
 from nickelslip.admission.starved_classes import StarvedClasses
 from nickelslip.admission.tenant_quotas import TenantQuotas
 from nickelslip.admission.tracked_request import TrackedRequest, TrackedRequests
+from nickelslip.admission.wake_up import WakeUp
 
 STATE_AFTER_RUN = {Outcome.OK: RequestState.COMPLETED, Outcome.ERROR: RequestState.FAILED}
 
@@ -91,12 +90,26 @@
         self._rejections = Rejections(
             self._requests, self._transitions, self._retry_after, self._interval, self._concurrency, self._drain
         )
+        self._arrivals = ArrivalAdmission(
+            self._requests,
+            self._transitions,
+            self._rejections,
+            self._records,
+            self._concurrency,
+            self._deadlines,
+            self._drain,
+            self._weight,
+        )
+        self._endings = ForcedEndings(
+            self._requests, self._transitions, self._rejections, self._deadlines, self._concurrency, self._memory
+        )
         self._dependency_limit = DependencyLimit(settings, self._window_ms, self._overload, now_ms)
         self._dependency_calls = DependencyCalls(
             self._requests, self._deadlines, self._dependency_limit, self._dependency_usage, now_ms
         )
+        self._call_returns = CallReturns(self._transitions, self._dependency_calls, self._interval)
         self._idle_connections = IdleConnectionTimeout(settings)
-        self._wake_at_ms = inf
+        self._wake_up = WakeUp(self._requests, self._interval, self._deadlines, self._dependency_limit)
         self._decisions = Decisions()
         self._adopt_settings(settings)
 
@@ -105,13 +118,7 @@
 
         Traffic classes keep their statistics. Open requests keep the class settings under which they arrived.
         """
-        previous = self._classes
-        self._classes = {}
-        for traffic_class in settings.traffic_classes:
-            statistics = ClassStatistics(traffic_class, self._window_ms)
-            if traffic_class.name in previous:
-                statistics.inherit(previous[traffic_class.name])
-            self._classes[traffic_class.name] = statistics
+        self._classes = statistics_by_class(settings.traffic_classes, self._window_ms, self._classes)
         self._can_stop_runs = settings.preemption is not Preemption.NEVER
         self._health_check_costs_work = settings.health_check_costs_work
 
@@ -125,21 +132,17 @@
         """Handle a request that the server has read."""
         statistics = self._classes[arrival.traffic_class]
         request = TrackedRequest(arrival, statistics, now_ms)
-        received_at_ms = now_ms - arrival.read_delay_ms
         self._requests.add(request)
         self._deadlines.track(request)
         self._interval.record_request(arrival.read_delay_ms, statistics.latency_objective_ms)
         self._priority.record_arrival(now_ms, arrival)
         statistics.record_arrival(now_ms, arrival.is_retry)
-        has_to_queue = self._has_to_queue()
-        age_ms = request_age_ms(request, received_at_ms) if arrival.deadline_at_ms is not None else 0.0
+        has_to_queue = self._arrivals.has_to_queue()
+        age_ms = request_age_ms(request, now_ms - arrival.read_delay_ms) if arrival.deadline_at_ms is not None else 0.0
         if has_to_queue:  # on a free core an old request runs anyway, because it may still be in time
             request.useful_until_ms -= age_ms
         self._priority.set_priority(now_ms, request, arrival)
-        if received_at_ms > self._drain.grace_ends_at_ms:
-            self._rejections.reject(now_ms, request)
-        else:
-            self._admit(now_ms, request, arrival, has_to_queue, age_ms)
+        self._arrivals.admit(now_ms, request, arrival, has_to_queue, age_ms)
         return self._apply_rules(now_ms)
 
     def run_ended(self, now_ms: float, request_id: int, outcome: Outcome, took_ms: float) -> Decisions:
@@ -187,7 +190,7 @@
         """
         request = self._requests.by_id.get(request_id)
         if request is not None and request.state is RequestState.CALL_IN_FLIGHT:
-            self._finish_call(now_ms, request, outcome, took_ms)
+            self._call_returns.finish(now_ms, request, outcome, took_ms)
         return self._apply_rules(now_ms)
 
     def limit_calls(self, now_ms: float, max_calls: float, pause_ms: float) -> Decisions:
@@ -239,8 +242,7 @@
 
     def timer_fired(self, now_ms: float, gauges: Gauges) -> Decisions:
         """Handle a requested wake-up, with the current gauges."""
-        if now_ms >= self._wake_at_ms:
-            self._wake_at_ms = inf
+        self._wake_up.timer_fired(now_ms)
         if now_ms >= self._interval.ends_at_ms and gauges.cpu_utilization is not None:
             self._interval.record_gauges(gauges.cpu_utilization, gauges.connection_count or 0.0)
             self._concurrency.adjust(self._interval, has_queue=bool(self._requests.queued))
@@ -254,17 +256,18 @@
         """Apply the rules that follow every event, in a fixed order, and return the decisions since the last event."""
         if now_ms >= self._interval.ends_at_ms:
             self._end_interval(now_ms)
-        self._stop_orphaned_runs(now_ms)
-        self._answer_due_requests(now_ms)
+        if self._can_stop_runs:
+            self._endings.stop_orphaned_runs(now_ms)
+        self._endings.answer_due_requests(now_ms)
         self._start_calls(now_ms)
         self._start_queued(now_ms)
-        self._enforce_memory_budget(now_ms)
+        self._endings.enforce_memory_budget(now_ms)
         decisions = self._decisions
         self._decisions = Decisions()
         decisions.state_changes = self._transitions.take_changes()
         decisions.idempotency_updates = self._idempotency_records.take_updates()
         decisions.advertised_weight = self._weight.take_change(now_ms, self._drain)
-        decisions.wake_in_ms = self._schedule_wake(now_ms)
+        decisions.wake_in_ms = self._wake_up.next_wake_in_ms(now_ms)
         return decisions
 
     def _end_interval(self, now_ms: float) -> None:
@@ -281,32 +284,6 @@
         self._interval.start_next(now_ms)
         self._idempotency_records.drop_expired(now_ms)
 
-    def _stop_orphaned_runs(self, now_ms: float) -> None:
-        """Tell the server to stop orphaned runs, if it can stop runs. The instruction is repeated once per interval."""
-        if not self._can_stop_runs:
-            return
-        for request in self._requests.orphaned.values():
-            if now_ms - request.stop_requested_at_ms >= ADJUSTMENT_INTERVAL_MS:
-                request.stop_requested_at_ms = now_ms
-                self._transitions.request_stop(request)
-
-    def _answer_due_requests(self, now_ms: float) -> None:
-        """Answer requests whose answer is due, and queued requests that can no longer finish in time."""
-        if not self._deadlines.is_scan_due(now_ms):
-            return
-        self._deadlines.last_scan_at_ms = now_ms
-        requests = self._requests
-        has_contention = requests.on_core_count() + len(requests.queued) > self._concurrency.limit
-        for request in list(requests.queued.values()):
-            if self._deadlines.is_due(now_ms, request) or is_late_if_started_now(
-                now_ms, request, has_contention, self._deadlines
-            ):
-                self._rejections.reject_or_fail_queued(now_ms, request)
-        if self._deadlines.is_any_due(now_ms):
-            for request in self._deadlines.due_requests(now_ms, requests):
-                self._transitions.enter(now_ms, request, RequestState.FAILED)
-            self._deadlines.update_next_due(requests)
-
     def _start_calls(self, now_ms: float) -> None:
         """Let waiting requests call the dependency, continue without their call, or fail."""
         safe_concurrency = self._overload.safe_concurrency(now_ms)
@@ -318,71 +295,3 @@
         safe_concurrency = self._overload.safe_concurrency(now_ms)
         for request in self._dispatcher.requests_to_start(self._concurrency.limit, safe_concurrency):
             self._transitions.enter(now_ms, request, RequestState.RUNNING)
-
-    def _enforce_memory_budget(self, now_ms: float) -> None:
-        """Reject or fail requests until the others fit into memory.
-
-        A queued request is rejected, even if it has run and must not run twice. A coalesced request fails instead,
-        because its original may have run.
-        """
-        for request in self._memory.excess_requests():
-            if request.state is RequestState.QUEUED:
-                self._rejections.reject(now_ms, request)
-            else:
-                self._transitions.enter(now_ms, request, RequestState.FAILED)
-
-    def _schedule_wake(self, now_ms: float) -> float | None:
-        """Return the time until the next wake-up, or None if an earlier or equal one is already scheduled."""
-        margin_ms = self._deadlines.margin_ms
-        wake_at_ms = min(self._interval.ends_at_ms, self._deadlines.next_due_at_ms - margin_ms)
-        next_call_at_ms = self._dependency_limit.next_call_at_ms
-        if self._requests.awaiting_call and next_call_at_ms > now_ms:
-            wake_at_ms = min(wake_at_ms, next_call_at_ms)
-        wake_at_ms = max(now_ms + margin_ms / 2, wake_at_ms)
-        if wake_at_ms >= self._wake_at_ms:
-            return None
-        self._wake_at_ms = wake_at_ms
-        return wake_at_ms - now_ms
-
-    def _has_to_queue(self) -> bool:
-        """Whether a request just added to the queue must wait there, behind other requests or for a slot."""
-        has_others_queued = len(self._requests.queued) > 1
-        return has_others_queued or self._requests.on_core_count() >= self._concurrency.limit
-
-    def _admit(
-        self, now_ms: float, request: TrackedRequest, arrival: Arrival, has_to_queue: bool, age_ms: float
-    ) -> None:
-        """Coalesce the request with its original, leave it in the queue, or reject it.
-
-        These rules reject it, in this order: it needs an idempotency record that does not fit into memory; it has to
-        queue and its tenant is over its quota; it is predicted to be answered too late to be useful.
-        """
-        if self._records.should_coalesce(request, arrival):
-            self._transitions.enter(now_ms, request, RequestState.COALESCED)
-            return
-        if not self._records.record_arrival(now_ms, request, arrival):
-            self._rejections.reject(now_ms, request)
-            return
-        if has_to_queue and request.within_quota_fraction < 1:  # other servers enforce the quota, too
-            self._rejections.reject(now_ms, request, retry_elsewhere_useless=True)
-            return
-        if has_to_queue:
-            is_late = is_predicted_late(
-                now_ms, request, self._requests, self._concurrency.effective_slots, self._deadlines
-            )
-        else:
-            is_late = is_late_if_started_now(now_ms, request, has_contention=False, deadlines=self._deadlines)
-        if is_late:
-            is_useless = is_retry_elsewhere_useless(arrival, age_ms, self._weight.weight)
-            self._rejections.reject(now_ms, request, retry_elsewhere_useless=is_useless)
-
-    def _finish_call(self, now_ms: float, request: TrackedRequest, outcome: Outcome, took_ms: float) -> None:
-        self._dependency_calls.record_return(now_ms, request, outcome, took_ms, self._interval.last_read_delay_ms)
-        if outcome is Outcome.OK:
-            self._transitions.enter(now_ms, request, RequestState.RUNNING, notify=False)
-            return
-        self._transitions.enter(now_ms, request, RequestState.AWAITING_CALL, notify=False)
-        self._dependency_calls.schedule_retry(now_ms, request, outcome)
-        if not outcome.proves_not_executed and not request.statistics.is_idempotent:  # it must not run twice
-            is_optional = request.statistics.is_call_optional
-            self._transitions.enter(now_ms, request, RequestState.DEGRADED if is_optional else RequestState.FAILED)
--- a/nickelslip/configuration/change_manager.py
+++ b/nickelslip/configuration/change_manager.py
@@ -10,10 +10,7 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
-from typing import NamedTuple
 
 from nickelslip.configuration.canary_verdict import CanaryStatus, CanaryVerdict
 from nickelslip.configuration.change_lifecycle import (
@@ -24,51 +21,19 @@
     RejectionReason,
 )
 from nickelslip.configuration.change_records import ChangeRecords
+from nickelslip.configuration.change_results import Adoption, ChangeStatus, StartedChange
 from nickelslip.configuration.config import ChangeRules, Config
+from nickelslip.configuration.confirmed_generations import ConfirmedGenerations
 from nickelslip.configuration.document import Document
-from nickelslip.configuration.generation_snapshot import GenerationSnapshot, with_peer_addresses_of
+from nickelslip.configuration.generation_snapshot import GenerationSnapshot
 from nickelslip.configuration.generations import Generation, digest_of
 from nickelslip.configuration.history import HistoryEvent, HistoryRecord
 from nickelslip.configuration.plan import plan_of
 from nickelslip.configuration.rolled_back_documents import RolledBackDocuments
 
-MAX_CONFIRMED_GENERATIONS = 8  # kept so that an operator can return to an earlier one
 MAX_DIFFERENCES_IN_MESSAGE = 5
 
 
-class StartedChange(NamedTuple):
-    """A change that is being applied, and the history record to write before its generation is adopted."""
-
-    change: ConfigurationChange
-    record: HistoryRecord
-
-
-class Adoption(NamedTuple):
-    """A generation to adopt immediately, and the history record to write afterwards."""
-
-    generation: Generation
-    record: HistoryRecord
-
-
-@dataclass(frozen=True)
-class ChangeStatus:
-    """The generation in force, the change in progress and the staged change.
-
-    Attributes:
-        in_force: The generation in force.
-        confirmed_generation: Number of the last confirmed generation.
-        current: The change being applied or in its canary period.
-        staged: The staged change.
-        rolled_back_for_ms: How much longer each recently rolled back document is rejected, keyed by digest.
-    """
-
-    in_force: GenerationSnapshot
-    confirmed_generation: int
-    current: ConfigurationChange | None
-    staged: ConfigurationChange | None
-    rolled_back_for_ms: dict[str, float]
-
-
 class ChangeManager:
     """Manages the configuration changes of one server and the generations that result from them.
 
@@ -94,9 +59,8 @@
         file_digest: str,
         on_transition: Callable[[ConfigurationChange], None] = lambda change: None,
     ) -> None:
-        initial_snapshot = GenerationSnapshot(generation, document, digest_of(document))
-        self._confirmed_snapshots: deque[GenerationSnapshot] = deque([initial_snapshot], MAX_CONFIRMED_GENERATIONS)
-        self.in_force = initial_snapshot
+        self.in_force = GenerationSnapshot(generation, document, digest_of(document))
+        self._confirmed = ConfirmedGenerations(self.in_force)
         self.staged: ConfigurationChange | None = None
         self.current: ConfigurationChange | None = None
         self.records = ChangeRecords(records, file_digest)
@@ -284,7 +248,7 @@
 
     def _confirm(self, change: ConfigurationChange, now_ms: float, reason: str) -> HistoryRecord:
         self.current = None
-        self._confirmed_snapshots.append(self.in_force)
+        self._confirmed.add(self.in_force)
         self._enter(change, ChangeState.CONFIRMED, now_ms, reason)
         # The change's own document may be out of date: peer addresses can change during the canary period.
         return self.records.add_change(HistoryEvent.CONFIRMED, change, now_ms, reason, self.in_force.document)
@@ -301,7 +265,7 @@
         """
         change = self._require_current(ChangeState.CANARY)
         self.current = None
-        self.in_force = self._confirmed_snapshots[-1]
+        self.in_force = self._confirmed.latest
         self._rolled_back_documents.add(change.digest, now_ms + self.rules.rejected_after_rollback_ms)
         self._enter(change, ChangeState.ROLLED_BACK, now_ms, reason)
         record = self.records.add_change(HistoryEvent.ROLLED_BACK, change, now_ms, reason)
@@ -316,11 +280,7 @@
         Raises:
             ChangeRejectedError: The generation is not kept.
         """
-        for snapshot in reversed(self._confirmed_snapshots):
-            if snapshot is not self.in_force and generation in (None, snapshot.generation.number):
-                return snapshot
-        detail = "no earlier generation is kept" if generation is None else f"generation {generation} is not kept"
-        raise ChangeRejectedError(RejectionReason.NOT_FOUND, detail)
+        return self._confirmed.earlier_than(self.in_force, generation)
 
     def replace_peer_addresses(self, now_ms: float, config: Config, document: Document, origin: str) -> Adoption:
         """Put a configuration that differs only in peer addresses into force, even if a change is staged or current.
@@ -331,10 +291,10 @@
         generation = self._next_generation(config, origin, now_ms)
         self.in_force = GenerationSnapshot(generation, document, digest_of(document))
         if self.current is None:
-            self._confirmed_snapshots.append(self.in_force)
+            self._confirmed.add(self.in_force)
         else:
-            self._confirmed_snapshots.append(with_peer_addresses_of(self._confirmed_snapshots.pop(), self.in_force))
-        confirmed = self._confirmed_snapshots[-1]
+            self._confirmed.replace_peer_addresses_of_latest(self.in_force)
+        confirmed = self._confirmed.latest
         record = self.records.add(
             HistoryEvent.CONFIRMED,
             generation=confirmed.generation.number,
@@ -350,7 +310,7 @@
         """Return the generation in force, the change in progress and the staged change."""
         return ChangeStatus(
             in_force=self.in_force,
-            confirmed_generation=self._confirmed_snapshots[-1].generation.number,
+            confirmed_generation=self._confirmed.latest.generation.number,
             current=self.current,
             staged=self.staged,
             rolled_back_for_ms=self._rolled_back_documents.all_remaining_ms(now_ms),
--- a/nickelslip/configuration/document.py
+++ b/nickelslip/configuration/document.py
@@ -12,14 +12,8 @@
 
 from nickelslip.configuration.field_values import normalized, value_fault
 from nickelslip.configuration.json5_reader import ParsedDocument
-from nickelslip.configuration.schema import (
-    MAX_NAMES,
-    NAMED_SECTIONS,
-    REQUIRED,
-    SCHEMA_VERSION,
-    SECTIONS,
-    Field,
-)
+from nickelslip.configuration.schema import MAX_NAMES, NAMED_SECTIONS, SCHEMA_VERSION, SECTIONS
+from nickelslip.configuration.schema_fields import REQUIRED, Field
 from nickelslip.configuration.validation import Fault, Path, Severity
 
 Document = dict[str, Any]
--- a/nickelslip/configuration/field_values.py
+++ b/nickelslip/configuration/field_values.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from nickelslip.configuration.config import parse_address
-from nickelslip.configuration.schema import Field, FieldType
+from nickelslip.configuration.schema_fields import Field, FieldType
 from nickelslip.json_fields import MalformedSettingsError
 
 MAX_LIST_LENGTH = 64
--- a/nickelslip/configuration/layers.py
+++ b/nickelslip/configuration/layers.py
@@ -17,7 +17,8 @@
 from nickelslip.configuration.document_reader import complete, read_part
 from nickelslip.configuration.field_values import normalized, value_fault
 from nickelslip.configuration.json5_reader import ParsedDocument
-from nickelslip.configuration.schema import NAMED_SECTIONS, SECTIONS, Field, FieldType, field_at
+from nickelslip.configuration.schema import NAMED_SECTIONS, SECTIONS, field_at
+from nickelslip.configuration.schema_fields import Field, FieldType
 from nickelslip.configuration.validation import Fault, InvalidDocumentError, Path, Severity, has_errors
 
 PATH_SEPARATOR = "__"
--- a/nickelslip/configuration/plan.py
+++ b/nickelslip/configuration/plan.py
@@ -11,7 +11,8 @@
 
 from nickelslip.configuration.document import Document
 from nickelslip.configuration.layers import values_by_path
-from nickelslip.configuration.schema import NAME_EFFECTS, NAMED_SECTIONS, NEVER_COMPARED, Effect, field_at
+from nickelslip.configuration.schema import NAME_EFFECTS, NAMED_SECTIONS, NEVER_COMPARED, field_at
+from nickelslip.configuration.schema_fields import Effect
 from nickelslip.configuration.validation import Path
 
 # Names in the control protocol and in `--json` output. They must stay the same when a member of Effect is renamed.
--- a/nickelslip/configuration/schema.py
+++ b/nickelslip/configuration/schema.py
@@ -1,111 +1,35 @@
-"""The schema of a configuration document: each field with its type, bounds, default and the effect of a change.
+"""The schema of a configuration document: each section with its fields.
 
-`nickelslip config words` prints the names, the descriptions and the values of ``FieldType`` and ``Effect``. They must
-not change. The schema contains no values of a particular deployment.
+`nickelslip config words` prints the names and the descriptions. They must not change. The schema contains no values of
+a particular deployment.
 """
 
 from __future__ import annotations
 
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass
-from enum import Enum
-from math import inf
-from typing import Any
 
 from nickelslip.configuration.descriptors import MIN_DESCRIPTORS
+from nickelslip.configuration.schema_fields import Effect, Field, FieldType, integer_field, number_field
 
 SCHEMA_VERSION = 1  # documents of a later version are rejected
 
 MAX_DURATION_MS = 86_400_000.0  # one day
 
-
-class Effect(Enum):
-    """When a change of a field takes effect."""
-
-    AT_ONCE = "taken at once"
-    NEW = "taken by transactions read from now on"
-    LINKS = "needs links to new peers"
-    RESTART = "needs a restart"
-
-
-class FieldType(Enum):
-    """The type of a field's value."""
-
-    NUMBER = "a number"
-    INTEGER = "a whole number"
-    BOOLEAN = "true or false"
-    STRING = "a text"
-    TOKEN = "one word"
-    HEX = "hex digits"
-    ADDRESS = "host:port"
-    CHOICE = "one of some words"
-    STRING_LIST = "a list of texts"
-
-
-class Required:
-    """The type of ``REQUIRED``, which marks a field without a default."""
-
-    def __repr__(self) -> str:
-        return "needed"
-
-
-REQUIRED = Required()
-
-
-@dataclass(frozen=True)
-class Field:
-    """One field of a section.
-
-    Attributes:
-        name: Its key in the section.
-        type: The type of its value.
-        effect: When a change of it takes effect.
-        default: The value if the key is absent. If the default is None, null is allowed.
-        min_value: The smallest allowed number.
-        max_value: The largest allowed number.
-        exclusive_min: Whether the number must be greater than ``min_value``; otherwise it may also be equal.
-        choices: The allowed strings.
-        description: What the field sets, for operators.
-    """
-
-    name: str
-    type: FieldType
-    effect: Effect
-    default: Any = REQUIRED
-    min_value: float = 0.0
-    max_value: float = inf
-    exclusive_min: bool = False
-    choices: tuple[str, ...] = ()
-    description: str = ""
-
-
-def _number(name: str, effect: Effect, default: Any = REQUIRED, description: str = "", **bounds: Any) -> Field:
-    """Return a number field. ``bounds`` are the attributes of ``Field`` that limit the number."""
-    return Field(name, FieldType.NUMBER, effect, default, description=description, **bounds)
-
-
-def _integer(
-    name: str, effect: Effect, default: Any = REQUIRED, description: str = "", min_value: float = 1, **bounds: Any
-) -> Field:
-    """Return an integer field, whose minimum is 1 unless another one is given."""
-    return Field(name, FieldType.INTEGER, effect, default, min_value, description=description, **bounds)
-
-
 NODE = (
     Field("name", FieldType.TOKEN, Effect.RESTART, description="this server's name, the same after a restart"),
     Field("listen", FieldType.ADDRESS, Effect.RESTART, description="where balancers connect"),
     Field(
         "seed", FieldType.HEX, Effect.RESTART, "0", description="of chance; drawn anew at each start and never compared"
     ),
-    _number(
+    number_field(
         "stop_ms",
         Effect.AT_ONCE,
         description="from the notice to leave to the kill",
         exclusive_min=True,
         max_value=MAX_DURATION_MS,
     ),
-    _number("memory_mb", Effect.RESTART, description="of this process", exclusive_min=True),
-    _integer("descriptors", Effect.AT_ONCE, description="of this process", min_value=MIN_DESCRIPTORS),
+    number_field("memory_mb", Effect.RESTART, description="of this process", exclusive_min=True),
+    integer_field("descriptors", Effect.AT_ONCE, description="of this process", min_value=MIN_DESCRIPTORS),
     Field(
         "starts",
         FieldType.STRING,
@@ -126,31 +50,33 @@
     Field("directory", FieldType.ADDRESS, Effect.LINKS, description="where this server is reported"),
 )
 MACHINE = (
-    _integer("cores", Effect.AT_ONCE, description="of the worker pool"),
-    _number("memory_kb", Effect.AT_ONCE, description="of the worker pool", exclusive_min=True),
-    _number(
+    integer_field("cores", Effect.AT_ONCE, description="of the worker pool"),
+    number_field("memory_kb", Effect.AT_ONCE, description="of the worker pool", exclusive_min=True),
+    number_field(
         "run_factor", Effect.AT_ONCE, 1.0, "memory of a running transaction over that of a held one", min_value=1.0
     ),
     Field("cold", FieldType.BOOLEAN, Effect.RESTART, False, description="whether a start is cold"),
-    _number("cold_from", Effect.RESTART, 1.0, "part of its speed that a cold server starts at", max_value=1.0),
-    _number("cold_ms", Effect.RESTART, 1.0, "until it is warm", exclusive_min=True, max_value=MAX_DURATION_MS),
-    _number(
+    number_field("cold_from", Effect.RESTART, 1.0, "part of its speed that a cold server starts at", max_value=1.0),
+    number_field("cold_ms", Effect.RESTART, 1.0, "until it is warm", exclusive_min=True, max_value=MAX_DURATION_MS),
+    number_field(
         "crowd_multiple",
         Effect.AT_ONCE,
         description="running transactions a core that a warm server survives",
         min_value=1.0,
     ),
-    _integer(
+    integer_field(
         "running_most", Effect.AT_ONCE, None, "transactions on the cores at once; absent: as many as the crowd allows"
     ),
-    _number("answer_slack_ms", Effect.AT_ONCE, 0.0, "by which an answer may be late", max_value=MAX_DURATION_MS),
-    _number(
+    number_field("answer_slack_ms", Effect.AT_ONCE, 0.0, "by which an answer may be late", max_value=MAX_DURATION_MS),
+    number_field(
         "drain_grace_ms",
         Effect.AT_ONCE,
         description="after the notice to leave, in which what arrives may still be run",
         max_value=MAX_DURATION_MS,
     ),
-    _number("tick_ms", Effect.AT_ONCE, description="how finely time is told", exclusive_min=True, max_value=1000.0),
+    number_field(
+        "tick_ms", Effect.AT_ONCE, description="how finely time is told", exclusive_min=True, max_value=1000.0
+    ),
     Field(
         "stopping",
         FieldType.CHOICE,
@@ -168,8 +94,8 @@
     ),
 )
 CALLERS = (
-    _integer("servers", Effect.AT_ONCE, 1, "in the fleet"),
-    _integer("callers", Effect.AT_ONCE, 1, "balancers in front of it"),
+    integer_field("servers", Effect.AT_ONCE, 1, "in the fleet"),
+    integer_field("callers", Effect.AT_ONCE, 1, "balancers in front of it"),
     Field(
         "said",
         FieldType.CHOICE,
@@ -178,7 +104,7 @@
         choices=("nothing", "chance", "slots", "rank"),
         description="what callers take the said weight for",
     ),
-    _number(
+    number_field(
         "advice_most_ms",
         Effect.AT_ONCE,
         0.0,
@@ -186,7 +112,9 @@
         max_value=MAX_DURATION_MS,
     ),
     Field("marks_again", FieldType.BOOLEAN, Effect.AT_ONCE, False, description="whether further tries are marked"),
-    _number("idle_ms", Effect.AT_ONCE, 0.0, "after which callers close unused connections", max_value=MAX_DURATION_MS),
+    number_field(
+        "idle_ms", Effect.AT_ONCE, 0.0, "after which callers close unused connections", max_value=MAX_DURATION_MS
+    ),
     Field(
         "checks_work",
         FieldType.BOOLEAN,
@@ -196,7 +124,7 @@
     ),
 )
 RANKING = (
-    _number("beyond_share_worth", Effect.NEW, 1.0, "of a transaction beyond its customer's share", max_value=1.0),
+    number_field("beyond_share_worth", Effect.NEW, 1.0, "of a transaction beyond its customer's share", max_value=1.0),
     Field(
         "counted_by_work",
         FieldType.BOOLEAN,
@@ -206,19 +134,27 @@
     ),
 )
 CALLS = (
-    _number("share", Effect.AT_ONCE, 0.0, "mean number of calls out that is this server's part; 0: no bound is told"),
-    _number("span_ms", Effect.RESTART, 0.0, "over which that mean is taken", max_value=MAX_DURATION_MS),
-    _number("linger_ms", Effect.AT_ONCE, 0.0, "how long a call that was given up stays out", max_value=MAX_DURATION_MS),
+    number_field(
+        "share", Effect.AT_ONCE, 0.0, "mean number of calls out that is this server's part; 0: no bound is told"
+    ),
+    number_field("span_ms", Effect.RESTART, 0.0, "over which that mean is taken", max_value=MAX_DURATION_MS),
+    number_field(
+        "linger_ms", Effect.AT_ONCE, 0.0, "how long a call that was given up stays out", max_value=MAX_DURATION_MS
+    ),
 )
 STORE = (
-    _number("entry_kb", Effect.AT_ONCE, 0.0, "memory of a remembered transaction"),
-    _number("fresh_ms", Effect.NEW, 0.0, "how long the answer to a read may serve others", max_value=MAX_DURATION_MS),
+    number_field("entry_kb", Effect.AT_ONCE, 0.0, "memory of a remembered transaction"),
+    number_field(
+        "fresh_ms", Effect.NEW, 0.0, "how long the answer to a read may serve others", max_value=MAX_DURATION_MS
+    ),
 )
 CHANGES = (
     Field(
         "socket", FieldType.STRING, Effect.RESTART, "", description="path of the control socket; empty: there is none"
     ),
-    _integer("socket_mode", Effect.RESTART, 0o600, "permissions of the control socket", min_value=0, max_value=0o777),
+    integer_field(
+        "socket_mode", Effect.RESTART, 0o600, "permissions of the control socket", min_value=0, max_value=0o777
+    ),
     Field(
         "history",
         FieldType.STRING,
@@ -226,10 +162,10 @@
         "",
         description="a folder that outlives the server; empty: in memory",
     ),
-    _number(
+    number_field(
         "history_kb", Effect.RESTART, 1024.0, "after which the history is written anew with what counts", min_value=64.0
     ),
-    _number(
+    number_field(
         "probation_ms",
         Effect.AT_ONCE,
         10_000.0,
@@ -237,10 +173,10 @@
         min_value=1000.0,
         max_value=MAX_DURATION_MS,
     ),
-    _number(
+    number_field(
         "probation_most_ms", Effect.AT_ONCE, 60_000.0, "where too little can be told before", max_value=MAX_DURATION_MS
     ),
-    _number(
+    number_field(
         "baseline_ms",
         Effect.AT_ONCE,
         20_000.0,
@@ -248,10 +184,10 @@
         min_value=2000.0,
         max_value=300_000.0,
     ),
-    _number(
+    number_field(
         "sigmas", Effect.AT_ONCE, 4.0, "by so many standard errors worse is no chance", min_value=2.0, max_value=20.0
     ),
-    _number(
+    number_field(
         "held_off_ms", Effect.AT_ONCE, 600_000.0, "how long an undone document is refused", max_value=MAX_DURATION_MS
     ),
     Field(
@@ -264,15 +200,15 @@
     ),
 )
 GRADE = (
-    _number("credit", Effect.NEW, description="of a transaction satisfied in its quoted time"),
-    _number(
+    number_field("credit", Effect.NEW, description="of a transaction satisfied in its quoted time"),
+    number_field(
         "quoted_ms",
         Effect.NEW,
         description="within which an answer is wanted",
         exclusive_min=True,
         max_value=MAX_DURATION_MS,
     ),
-    _number(
+    number_field(
         "abandon_ms",
         Effect.NEW,
         description="after which a client gives up",
@@ -286,26 +222,30 @@
         choices=("replayable", "referenced", "single-use"),
         description="what may happen to it a second time",
     ),
-    _number(
+    number_field(
         "window_ms",
         Effect.NEW,
         0.0,
         "referenced: a repeat may come so long after an arrival",
         max_value=MAX_DURATION_MS,
     ),
-    _number("late_share", Effect.NEW, 0.0, "of its credit that an answer after the quoted time earns", max_value=1.0),
-    _number("stretch", Effect.NEW, 0.0, "extra quoted time, as a multiple of the work"),
+    number_field(
+        "late_share", Effect.NEW, 0.0, "of its credit that an answer after the quoted time earns", max_value=1.0
+    ),
+    number_field("stretch", Effect.NEW, 0.0, "extra quoted time, as a multiple of the work"),
     Field("calls", FieldType.BOOLEAN, Effect.NEW, False, description="whether its runs make calls"),
-    _number(
+    number_field(
         "omit_share",
         Effect.NEW,
         0.0,
         "of its credit that an answer without its call earns; 0: not allowed",
         max_value=1.0,
     ),
-    _integer("reserve", Effect.AT_ONCE, 0, "running slots that other grades leave free for it", min_value=0),
+    integer_field("reserve", Effect.AT_ONCE, 0, "running slots that other grades leave free for it", min_value=0),
+)
+CUSTOMER = (
+    number_field("share_per_s", Effect.AT_ONCE, 0.0, "transactions a second, over all servers, that count in full"),
 )
-CUSTOMER = (_number("share_per_s", Effect.AT_ONCE, 0.0, "transactions a second, over all servers, that count in full"),)
 
 SECTIONS: Mapping[str, tuple[Field, ...]] = {
     "node": NODE,
--- a/nickelslip/server/configuration_reloader.py
+++ b/nickelslip/server/configuration_reloader.py
@@ -18,7 +18,7 @@
 from nickelslip.configuration.document_conversion import document_of
 from nickelslip.configuration.generations import digest_of
 from nickelslip.configuration.plan import Difference, plan_of
-from nickelslip.configuration.schema import Effect
+from nickelslip.configuration.schema_fields import Effect
 from nickelslip.json_fields import MalformedSettingsError
 from nickelslip.server.change_applier import ChangeApplier
 from nickelslip.server.peer_address_reloader import RELOAD_ORIGIN
--- a/nickelslip/server/control_results.py
+++ b/nickelslip/server/control_results.py
@@ -7,7 +7,7 @@
 
 from nickelslip.configuration.canary_verdict import CanaryVerdict
 from nickelslip.configuration.change_lifecycle import STATE_WORDS, ChangeState, ConfigurationChange
-from nickelslip.configuration.change_manager import ChangeStatus
+from nickelslip.configuration.change_results import ChangeStatus
 from nickelslip.configuration.history import HistoryRecord
 from nickelslip.configuration.plan import Plan
 from nickelslip.configuration.validation import Fault
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -26,7 +26,7 @@
 from nickelslip.configuration.rollout import Rollout
 from nickelslip.configuration.rollout_runner import ROLLOUT_STATUS_TEXTS, ROLLOUT_STATUS_WORDS, TARGET_STATE_WORDS
 from nickelslip.configuration.rollout_states import TRANSITIONS, Action, RolloutPolicy, RolloutStatus, TargetState
-from nickelslip.configuration.schema import Effect
+from nickelslip.configuration.schema_fields import Effect
 from nickelslip.configuration.start_selection import select_start
 from nickelslip.configuration.validation import InvalidDocumentError
 from tests.test_config import VALID_CONFIGURATION
--- a/tests/test_control_words.py
+++ b/tests/test_control_words.py
@@ -5,7 +5,7 @@
 from nickelslip.configuration.change_lifecycle import STATE_WORDS, TRANSITIONS, ChangeRejectedError, ChangeState
 from nickelslip.configuration.change_lifecycle import RejectionReason as Reason
 from nickelslip.configuration.plan import EFFECT_WORDS
-from nickelslip.configuration.schema import Effect
+from nickelslip.configuration.schema_fields import Effect
 from nickelslip.server import control_commands as commands
 from nickelslip.server.control_words import CANARY_STATUS_WORDS, EVENT_WORDS, PHASE_WORDS, REJECTION_CODES
 
