Split the construction of the controller and the checks of changes

Starts and calls, which share one bound, are decided in one method. The checks of a draft and the state after a verdict are functions of change_checks.

--- a/nickelslip/admission/controller.py
+++ b/nickelslip/admission/controller.py
@@ -73,6 +73,13 @@
         self._requests = TrackedRequests()
         self._idempotency_records = IdempotencyRecords()
         self._interval = IntervalMeasurements(now_ms)
+        self._decisions = Decisions()
+        self._create_rules(settings, seed, now_ms)
+        self._create_actions(settings, now_ms)
+        self._adopt_settings(settings)
+
+    def _create_rules(self, settings: Settings, seed: int, now_ms: float) -> None:
+        """Create the rules that measure and limit; they do not change the state of a request."""
         self._drain = DrainSchedule(settings)
         self._deadlines = AnswerDeadlines(settings, self._drain)
         self._weight = AdvertisedWeight(settings)
@@ -86,6 +93,10 @@
         self._records = RecordRetention(settings, self._idempotency_records, self._memory)
         self._dispatcher = Dispatcher(settings, self._requests, self._memory)
         self._dependency_usage = DependencyUsage(settings, self._window_ms, now_ms)
+        self._idle_connections = IdleConnectionTimeout(settings)
+
+    def _create_actions(self, settings: Settings, now_ms: float) -> None:
+        """Create what changes the states of requests, and the rules on calls."""
         self._transitions = RequestTransitions(self._requests, self._records, self._dependency_usage, self._quotas)
         self._rejections = Rejections(
             self._requests, self._transitions, self._retry_after, self._interval, self._concurrency, self._drain
@@ -108,10 +119,7 @@
             self._requests, self._deadlines, self._dependency_limit, self._dependency_usage, now_ms
         )
         self._call_returns = CallReturns(self._transitions, self._dependency_calls, self._interval)
-        self._idle_connections = IdleConnectionTimeout(settings)
         self._wake_up = WakeUp(self._requests, self._interval, self._deadlines, self._dependency_limit)
-        self._decisions = Decisions()
-        self._adopt_settings(settings)
 
     def _adopt_settings(self, settings: Settings) -> None:
         """Apply the settings that the controller itself uses.
@@ -259,8 +267,7 @@
         if self._can_stop_runs:
             self._endings.stop_orphaned_runs(now_ms)
         self._endings.answer_due_requests(now_ms)
-        self._start_calls(now_ms)
-        self._start_queued(now_ms)
+        self._fill_cores(now_ms)
         self._endings.enforce_memory_budget(now_ms)
         decisions = self._decisions
         self._decisions = Decisions()
@@ -284,14 +291,10 @@
         self._interval.start_next(now_ms)
         self._idempotency_records.drop_expired(now_ms)
 
-    def _start_calls(self, now_ms: float) -> None:
-        """Let waiting requests call the dependency, continue without their call, or fail."""
+    def _fill_cores(self, now_ms: float) -> None:
+        """Let waiting requests call the dependency, continue without their call, or fail; then start queued ones."""
         safe_concurrency = self._overload.safe_concurrency(now_ms)
         for decision in self._dependency_calls.decide(now_ms, safe_concurrency, self._concurrency.max_concurrency):
             self._transitions.enter(now_ms, decision.request, decision.state, duration_ms=decision.timeout_ms)
-
-    def _start_queued(self, now_ms: float) -> None:
-        """Start queued requests while slots are free."""
-        safe_concurrency = self._overload.safe_concurrency(now_ms)
         for request in self._dispatcher.requests_to_start(self._concurrency.limit, safe_concurrency):
             self._transitions.enter(now_ms, request, RequestState.RUNNING)
--- a/nickelslip/configuration/change_manager.py
+++ b/nickelslip/configuration/change_manager.py
@@ -12,7 +12,8 @@
 
 from collections.abc import Callable
 
-from nickelslip.configuration.canary_verdict import CanaryStatus, CanaryVerdict
+from nickelslip.configuration.canary_verdict import CanaryVerdict
+from nickelslip.configuration.change_checks import draft_error, state_after_verdict
 from nickelslip.configuration.change_lifecycle import (
     STATE_WORDS,
     ChangeRejectedError,
@@ -31,8 +32,6 @@
 from nickelslip.configuration.plan import plan_of
 from nickelslip.configuration.rolled_back_documents import RolledBackDocuments
 
-MAX_DIFFERENCES_IN_MESSAGE = 5
-
 
 class ChangeManager:
     """Manages the configuration changes of one server and the generations that result from them.
@@ -99,26 +98,13 @@
             plan=plan_of(self.in_force.document, document),
             forced=forced,
         )
-        error = self._draft_error(change, now_ms)
+        error = draft_error(change, self._rolled_back_documents.remaining_ms(change.digest, now_ms))
         if error is not None:
             self._enter(change, ChangeState.REJECTED, now_ms, str(error))
             raise error
         self._enter(change, ChangeState.VALIDATED, now_ms)
         return change
 
-    def _draft_error(self, change: ConfigurationChange, now_ms: float) -> ChangeRejectedError | None:
-        """Return the error with which a drafted change is rejected, or None if it is valid."""
-        if change.plan.is_empty:
-            return ChangeRejectedError(RejectionReason.NO_DIFFERENCE)
-        if change.plan.needing_restart:
-            shown_differences = change.plan.needing_restart[:MAX_DIFFERENCES_IN_MESSAGE]
-            return ChangeRejectedError(RejectionReason.NEEDS_RESTART, "; ".join(map(str, shown_differences)))
-        remaining_ms = self._rolled_back_documents.remaining_ms(change.digest, now_ms)
-        if remaining_ms > 0 and not change.forced:
-            detail = f"refused for {remaining_ms / 1000:.0f} s more unless forced"
-            return ChangeRejectedError(RejectionReason.RECENTLY_ROLLED_BACK, detail)
-        return None
-
     def reject(self, now_ms: float, change: ConfigurationChange, error: ChangeRejectedError) -> None:
         """Reject a validated or staged change."""
         if self.staged is change:
@@ -218,19 +204,11 @@
     def next_state(self, now_ms: float, verdict: CanaryVerdict) -> ChangeState | None:
         """Return the state to which a verdict moves the change in its canary period, or None if it stays there.
 
-        The caller performs the transition with `confirm` or `roll_back`. After the maximum canary period, a change is
-        confirmed unless harm was found or is suspected, even if the data is insufficient to call it harmless.
+        The caller performs the transition with `confirm` or `roll_back`.
         """
         if self.current is None or self.current.state is not ChangeState.CANARY:
             return None
-        elapsed_ms = now_ms - self.current.state_entered_at_ms
-        if verdict.status is CanaryStatus.HARM:
-            return ChangeState.ROLLED_BACK
-        if elapsed_ms >= self.rules.max_canary_period_ms and verdict.status is not CanaryStatus.SUSPECTED:
-            return ChangeState.CONFIRMED
-        if elapsed_ms >= self.rules.canary_period_ms and verdict.status is CanaryStatus.NO_HARM:
-            return ChangeState.CONFIRMED
-        return None
+        return state_after_verdict(verdict, now_ms - self.current.state_entered_at_ms, self.rules)
 
     def extend_canary_period(self, duration_ms: float) -> None:
         """Extend the canary period by a time during which the change could not be observed."""
@@ -294,16 +272,7 @@
             self._confirmed.add(self.in_force)
         else:
             self._confirmed.replace_peer_addresses_of_latest(self.in_force)
-        confirmed = self._confirmed.latest
-        record = self.records.add(
-            HistoryEvent.CONFIRMED,
-            generation=confirmed.generation.number,
-            digest=confirmed.digest,
-            origin=origin,
-            now_ms=now_ms,
-            reason="peers moved",
-            document=confirmed.document,
-        )
+        record = self.records.add_moved_peers(self._confirmed.latest, origin, now_ms)
         return Adoption(generation, record)
 
     def status(self, now_ms: float) -> ChangeStatus:
--- a/nickelslip/configuration/change_records.py
+++ b/nickelslip/configuration/change_records.py
@@ -7,6 +7,7 @@
 
 from nickelslip.configuration.change_lifecycle import ConfigurationChange
 from nickelslip.configuration.document import Document
+from nickelslip.configuration.generation_snapshot import GenerationSnapshot
 from nickelslip.configuration.history import HistoryEvent, HistoryRecord
 
 MAX_RECORDS_IN_MEMORY = 256
@@ -48,6 +49,18 @@
             document=document,
         )
 
+    def add_moved_peers(self, confirmed: GenerationSnapshot, origin: str, now_ms: float) -> HistoryRecord:
+        """Create the record of the confirmed generation with new peer addresses, add it and return it for writing."""
+        return self.add(
+            HistoryEvent.CONFIRMED,
+            generation=confirmed.generation.number,
+            digest=confirmed.digest,
+            origin=origin,
+            now_ms=now_ms,
+            reason="peers moved",
+            document=confirmed.document,
+        )
+
     def add(
         self,
         event: HistoryEvent,
