Begin the test of unlimited calls once the slow start has ended

The test expects three calls in flight at once, and began while a warm server without a share still makes one call at a time, until its first report. Its second call had waited for that, 88 to 120 ms here; since a request goes on without its call after 125 ms.

The test waits for the phase WARM first, and asks for the same then.

--- a/tests/test_new_settings.py
+++ b/tests/test_new_settings.py
@@ -9,6 +9,7 @@
 
 from nickelslip.admission.interface import Preemption
 from nickelslip.server import resp
+from nickelslip.startup.slow_start import SlowStartPhase
 from tests.support.fake_worker_pool import CALL_BODY
 from tests.support.request_ids import A, B, C
 from tests.support.server_rig import ServerRig
@@ -58,6 +59,7 @@
 async def test_calls_to_a_downstream_tier_are_not_limited_and_are_retried_or_skipped_on_connection_loss():
     async with rig_without_tenants(cpus=4) as rig:
         client = await (await rig.wait_until_serving()).connect_client()
+        await wait_until(lambda: rig.server.slow_start.phase is SlowStartPhase.WARM)  # one call at a time before
         for request_id in (A, B, C):
             await rig.start_call(client, request_id, without="owner")
         await rig.records.reply(A, "DONE", b"reply")
