--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -80,6 +80,7 @@
         self.runs: dict[str, Run] = {}
         self.results: dict[str, bytes] = {}
         self.running_count = 0
+        self.slowness = 1.0
 
     async def listen(self) -> str:
         """Listen on a free port and return the address."""
@@ -212,7 +213,7 @@
         began_s = time.monotonic()
         end = "fine"
         try:
-            await asyncio.sleep(self._work_ms[run.traffic_class] / 1000)
+            await asyncio.sleep(self._work_ms[run.traffic_class] * self.slowness / 1000)
             for _ in range(self._calls.get(run.traffic_class, 0)):
                 if run.is_over:
                     end = "broken_off"
