Review scripts: errors and early ends count as not run

Cause: an error of a script ended it with 1, which stands for a broken rule, and a script that was cut off left its servers to end later. Case 6 needed more descriptors than some machines give a process.

Change: every way out but a finished play gives 2; SIGTERM and 110 s cancel the play, which ends what it started; waves of case 6 no longer overlap.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -25,9 +25,9 @@
 PERIOD_S = 0.08  # between two requests of one balancer
 PLAY_S = 40.0
 BAD_CLIENTS = 850
-FIRST_WAVE_S = 5.0
-WAVE_PERIOD_S = 6.0
-WAVES = 4
+FIRST_WAVE_S = 3.0
+WAVE_PERIOD_S = 12.0  # the longest that such a client is kept is 11 s
+WAVES = 3
 SLACK_MS = 60.0 + world.SOCKET_SLACK_MS
 CROSSING_MS = 50.0  # a request that crosses a close within this time is sent again
 MOST_LOST = 0.003  # of all requests
@@ -170,7 +170,7 @@
     record = world.Record(FOLDER / "record.txt")
     try:
         with tempfile.TemporaryDirectory() as folder:
-            code = asyncio.run(play(record, Path(folder)))
+            code = world.run_case(play(record, Path(folder)))
             record.line("server log: " + (Path(folder) / "server.log").read_text()[-6000:])
             return code
     finally:
@@ -178,4 +178,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    world.end_with(main)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -165,7 +165,7 @@
     began_s = time.monotonic()
     try:
         with tempfile.TemporaryDirectory() as folder:
-            code = asyncio.run(play(record, Path(folder)))
+            code = world.run_case(play(record, Path(folder)))
             for name in ("n1", "n2"):
                 log = Path(folder) / name / "server.log"
                 lines = [line for line in world.log_lines(log) if line.get("event", "").startswith("configuration")]
@@ -178,4 +178,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    world.end_with(main)
--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -14,12 +14,14 @@
 import json
 import os
 import signal
+import sys
 import time
 import tomllib
-from collections.abc import Callable
+import traceback
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
+from typing import Any, NoReturn
 
 HOST = "127.0.0.1"
 ROOT = Path(__file__).resolve().parents[2]
@@ -29,6 +31,8 @@
 SOCKET_SLACK_MS = 50.0  # every time limit is this much longer on sockets
 HELD_COUNTS_AFTER_MS = 100.0  # by the protocol page, a request that is held counts against the memory from then on
 DONE = "done"
+NOT_RUN = 2  # exit code of a case that could not run
+LONGEST_S = 110.0  # of a case
 
 
 def now_ms() -> float:
@@ -662,3 +666,35 @@
         },
         "changes": changes,
     }
+
+
+def run_case(play: Coroutine[Any, Any, int]) -> int:
+    """Play a case and return its exit code; an error of the case, or an end before its time, counts as not run.
+
+    SIGTERM and the end of the longest time cancel the play, which ends all processes that it has started.
+    """
+
+    async def guarded() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        async with asyncio.timeout(LONGEST_S):
+            return await play
+
+    try:
+        return asyncio.run(guarded())
+    except asyncio.CancelledError:
+        print("ended by a signal", file=sys.stderr)
+    except Exception:
+        traceback.print_exc()
+    return NOT_RUN
+
+
+def end_with(main: Callable[[], int]) -> NoReturn:
+    """End the process with the exit code of a case; an error outside the play counts as not run as well."""
+    code = NOT_RUN
+    try:
+        code = main()
+    except Exception:
+        traceback.print_exc()
+    sys.exit(code)
