--- a/nickelslip/server/connection_table.py
+++ b/nickelslip/server/connection_table.py
@@ -37,6 +37,7 @@
         self._silent: dict[LoadBalancerConnection, None] = {}  # no valid message so far; oldest first
         self.lingering: dict[LoadBalancerConnection, None] = {}
         self.slow_writers: set[LoadBalancerConnection] = set()
+        self._incomplete: dict[LoadBalancerConnection, None] = {}  # in the order in which their messages began
 
     def add(self, connection: LoadBalancerConnection) -> None:
         """Add a newly accepted connection."""
@@ -46,7 +47,7 @@
     def remove(self, connection: LoadBalancerConnection) -> None:
         """Remove a connection if it is still in the table."""
         self.connections.discard(connection)
-        self.slow_writers.discard(connection)
+        self.note_complete_message(connection)
         self.lingering.pop(connection, None)
         self._silent.pop(connection, None)
 
@@ -57,6 +58,7 @@
     def mark_lingering(self, connection: LoadBalancerConnection) -> None:
         """Record that a lingering close has begun, so the connection no longer counts towards the limit."""
         self._silent.pop(connection, None)
+        self._incomplete.pop(connection, None)
         self.lingering[connection] = None
 
     @property
@@ -71,19 +73,24 @@
         served_count = len(self.connections) - len(self.lingering)
         return served_count < self._context.generation.descriptor_shares.load_balancers
 
+    def make_room(self) -> bool:
+        """Begin to close one connection so that another can be served; return whether there was one.
+
+        Clients that connect and send nothing, or never finish a message, cannot fill the table.
+        """
+        without_requests = (connection for connection in self._incomplete if not connection.requests)
+        return self._shed_silent() or self._shed_incomplete(without_requests) or self.shed_idle_connection()
+
+    def _shed_silent(self) -> bool:
+        return self._close_first_idle(list(islice(self._silent, MAX_SILENT_CANDIDATES)))
+
     def shed_idle_connection(self) -> bool:
         """Begin to close one idle connection; return whether there was one.
 
         The oldest silent connection is chosen first, otherwise the least recently used one. Clients that connect and
         send nothing therefore cannot fill the table. A load balancer that loses an old connection opens another.
         """
-        closed = self._close_first_idle(list(islice(self._silent, MAX_SILENT_CANDIDATES)))
-        if closed is None:
-            closed = self._close_first_idle(self._idle_by_last_use())
-        if closed is None:
-            return False
-        self.mark_lingering(closed)
-        return True
+        return self._shed_silent() or self._close_first_idle(self._idle_by_last_use())
 
     def _idle_by_last_use(self) -> list[LoadBalancerConnection]:
         idle = [
@@ -91,13 +98,43 @@
         ]
         return sorted(idle, key=lambda connection: connection.last_used_at_ms)
 
-    @staticmethod
-    def _close_first_idle(candidates: Iterable[LoadBalancerConnection]) -> LoadBalancerConnection | None:
-        """Begin to close the first candidate that is idle with no unread input, and return it."""
+    def _close_first_idle(self, candidates: Iterable[LoadBalancerConnection]) -> bool:
+        """Begin to close the first candidate that is idle with no unread input; return whether there was one."""
         for connection in candidates:
             if connection.close_if_idle(CloseReason.SHED):
-                return connection
-        return None
+                self.mark_lingering(connection)
+                return True
+        return False
+
+    def free_memory(self, requester: LoadBalancerConnection) -> bool:
+        """Take memory from another connection, which is closed; return whether there was one.
+
+        Only a connection on which a request was completed may take memory, and only from one on which none was: from
+        the one whose incomplete message began first, otherwise from the one with most unsent answers.
+        """
+        if not requester.has_completed_request:
+            return False
+        if self._shed_incomplete(self._incomplete):
+            return True
+        with_backlog = [
+            connection
+            for connection in self.connections
+            if not connection.has_completed_request and not connection.stream.all_sent
+        ]
+        if not with_backlog:
+            return False
+        max(with_backlog, key=lambda connection: connection.stream.backlog_bytes).stream.abort(CloseReason.SHED)
+        return True
+
+    def _shed_incomplete(self, candidates: Iterable[LoadBalancerConnection]) -> bool:
+        """Discard the first incomplete message that may be discarded, and close its connection."""
+        for connection in candidates:
+            if connection.shed_incomplete_message():
+                self._incomplete.pop(connection, None)
+                if connection.close_began_at_ms is not None:
+                    self.mark_lingering(connection)
+                return True
+        return False
 
     def abort_lingering(self) -> bool:
         """Free a descriptor immediately by aborting a lingering connection; return whether there was one.
@@ -131,9 +168,14 @@
         self.slow_writers.add(connection)
         return True
 
-    def remove_slow_writer(self, connection: LoadBalancerConnection) -> None:
-        """Apply the ordinary time limit again, after the slow message is complete."""
+    def note_incomplete_message(self, connection: LoadBalancerConnection) -> None:
+        """Record that the connection's current message has not been received completely."""
+        self._incomplete[connection] = None
+
+    def note_complete_message(self, connection: LoadBalancerConnection) -> None:
+        """Record that the current message is complete; the ordinary time limit applies to the next one."""
         self.slow_writers.discard(connection)
+        self._incomplete.pop(connection, None)
 
     def close_idle(self, idle_timeout_ms: float) -> None:
         """Request the close of connections idle for longer than `idle_timeout_ms`; close those that do not comply."""
--- a/nickelslip/server/load_balancer_connection.py
+++ b/nickelslip/server/load_balancer_connection.py
@@ -15,6 +15,7 @@
 
 import anyio
 
+from nickelslip.admission.interface import RequestState
 from nickelslip.server import resp
 from nickelslip.server.answer_encoder import encode_close_request
 from nickelslip.server.close_reasons import CloseReason, ConnectionClosedError
@@ -24,12 +25,14 @@
 if TYPE_CHECKING:  # avoids imports at startup
     from nickelslip.server.connection_log import ConnectionLog
     from nickelslip.server.interfaces import RequestHandler
+    from nickelslip.server.requests import Answer
 
 MAX_BACKLOG_BYTES = 64 * 1024  # reading pauses while more answers than this are unsent
 FIRST_BYTE_TIMEOUT_MS = 2000.0  # from the start of the connection to the first byte of its first message
 MESSAGE_TIMEOUT_MS = 2000.0  # from the first byte of a message to its end, except for messages of slow writers
 MAX_CONSECUTIVE_REFUSALS = 64
 SEND_POLL_INTERVAL_S = 0.05
+SHED_DELAY_S = 1.0
 CLOSE_CROSSING_MS = 50.0  # by the protocol, load balancers resend requests sent within this time before a close
 PEER_GONE_REASONS = (CloseReason.CLOSED, CloseReason.RESET)  # the peer can no longer read an answer
 
@@ -49,8 +52,14 @@
     def admit_slow_writer(self, connection: LoadBalancerConnection) -> bool:
         """Decide whether a message that missed its time limit may take as long as the longest client timeout."""
 
-    def remove_slow_writer(self, connection: LoadBalancerConnection) -> None:
-        """Apply the ordinary time limit again, after the slow message is complete."""
+    def note_incomplete_message(self, connection: LoadBalancerConnection) -> None:
+        """Record that the connection's current message has not been received completely."""
+
+    def note_complete_message(self, connection: LoadBalancerConnection) -> None:
+        """Record that the current message is complete; the ordinary time limit applies to the next one."""
+
+    def free_memory(self, requester: LoadBalancerConnection) -> bool:
+        """Take memory from another connection, which is closed; return whether there was one."""
 
 
 class LoadBalancerConnection:
@@ -67,6 +76,7 @@
         requests: The open requests of this connection.
         last_used_at_ms: When the connection was accepted, or last carried a complete message or an answer.
         has_sent_valid_message: Whether the load balancer has sent a valid request or health check.
+        has_completed_request: Whether a request of this connection was answered with its result.
         is_close_requested: Whether the load balancer was asked to close the connection.
         close_began_at_ms: When this side began a lingering close, or None.
     """
@@ -78,12 +88,19 @@
         self._registry = registry
         self._log = log
         self.stream = Stream(
-            sock, server.buffers, server.task_group, server.generation.longest_timeout_ms, MAX_BACKLOG_BYTES
+            sock,
+            server.buffers,
+            server.task_group,
+            server.generation.longest_timeout_ms,
+            MAX_BACKLOG_BYTES,
+            free_memory=self._free_memory,
+            reads_into_scratch=True,
         )
-        self.requests = TaggedRequests(server, self.stream, log, self._note_valid_message, self._note_used)
+        self.requests = TaggedRequests(server, self.stream, log, self._note_valid_message, self._note_answer)
         self.last_used_at_ms = server.clock()
         self._message_began_at_ms: float | None = None  # of an incomplete message
         self.has_sent_valid_message = False
+        self.has_completed_request = False
         self.is_close_requested = False
         self.close_began_at_ms: float | None = None
 
@@ -94,6 +111,8 @@
             await self._read_messages()
         except ConnectionClosedError as error:
             closed = error
+            if error.reason is CloseReason.SHED and self.close_began_at_ms is None:
+                await self._delay_close()
             if error.reason not in PEER_GONE_REASONS:
                 await self._answer_and_linger()
         except Exception as error:  # affects only this connection; its open requests are still answered
@@ -150,10 +169,12 @@
                 self._message_began_at_ms = self._server.clock()
             parts = self._next_message(data)
             if parts is None:
+                self._registry.note_incomplete_message(self)
+                self.stream.store_rest()
                 return
             self._note_used()
             self._message_began_at_ms = None
-            self._registry.remove_slow_writer(self)
+            self._registry.note_complete_message(self)
             self.requests.handle_message(parts)
 
     def _next_message(self, data: bytearray) -> list[bytes] | None:
@@ -176,6 +197,14 @@
     def _note_used(self) -> None:
         self.last_used_at_ms = self._server.clock()
 
+    def _note_answer(self, answer: Answer) -> None:
+        self._note_used()
+        if answer.state is RequestState.COMPLETED:
+            self.has_completed_request = True
+
+    def _free_memory(self) -> bool:
+        return self._registry.free_memory(self)
+
     def _note_valid_message(self) -> None:
         self.has_sent_valid_message = True
         self._registry.note_valid_message(self)
@@ -202,6 +231,19 @@
         self.begin_close(reason)
         return True
 
+    def shed_incomplete_message(self) -> bool:
+        """Discard an incomplete message and begin to close; return False if a request could be lost by this.
+
+        Requests that are still open are answered first. A connection on which a request was completed is not closed.
+        """
+        if self.has_completed_request or self.stream.data is None or not self.stream.all_sent:
+            return False
+        if not self.stream.has_read_all_input:
+            return False
+        self.stream.stop_reading(CloseReason.SHED)
+        self.begin_close(CloseReason.SHED)
+        return True
+
     def begin_close(self, reason: CloseReason) -> None:
         """Begin a lingering close even if there is unread input, when there is no time or capacity to answer it.
 
@@ -213,6 +255,7 @@
 
     async def _answer_and_linger(self) -> None:
         """Wait until the open requests are answered, without reading more messages, and then linger."""
+        self.stream.consume(self.stream.end)
         await self.requests.wait_until_answered()
         await self._wait_until_sent()
         if self.close_began_at_ms is None:
@@ -220,6 +263,11 @@
             self._registry.mark_lingering(self)
         await self.stream.linger()
 
+    async def _delay_close(self) -> None:
+        """Keep a connection for which there is no memory for a while, since its client may reconnect at once."""
+        self.stream.consume(self.stream.end)
+        await anyio.sleep(SHED_DELAY_S)
+
     async def _wait_until_sent(self) -> None:
         """Wait until all answers are sent, for at most the time that a stream may stall."""
         with anyio.move_on_after(self._server.generation.longest_timeout_ms / 1000):
--- a/nickelslip/server/load_balancer_listener.py
+++ b/nickelslip/server/load_balancer_listener.py
@@ -92,10 +92,10 @@
     def _admit(self, sock: socket.socket) -> None:
         """Serve an accepted connection.
 
-        If the connection limit is reached and no idle connection can be shed, a lingering close begins immediately
+        If the connection limit is reached and no connection can be shed, a lingering close begins immediately
         without reading anything, so that the client can use another server.
         """
-        can_serve = self.table.is_below_limit or self.table.shed_idle_connection()
+        can_serve = self.table.is_below_limit or self.table.make_room()
         connection = LoadBalancerConnection(self._server, self.table, self._log, sock)
         self.table.add(connection)
         self._server.task_group.start_soon(self._server.supervise, self._serve, connection)
--- a/nickelslip/server/send_backlog.py
+++ b/nickelslip/server/send_backlog.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 
-from nickelslip.server.buffer_pool import BUFFER_BYTES, BufferPool
+from nickelslip.server.buffer_pool import BUFFER_BYTES
 
 
 @dataclass(slots=True)
@@ -20,13 +21,13 @@
     """A queue of bytes in which every buffer except the last is full.
 
     Args:
-        buffers: The pool from which buffers are acquired.
-        may_use_reserve: Whether reserved buffers may be acquired.
+        acquire: Returns a buffer, or raises ConnectionClosedError if none is left.
+        release: Takes a buffer back.
     """
 
-    def __init__(self, buffers: BufferPool, may_use_reserve: bool) -> None:
-        self._buffers = buffers
-        self._may_use_reserve = may_use_reserve
+    def __init__(self, acquire: Callable[[], bytearray], release: Callable[[bytearray], None]) -> None:
+        self._acquire = acquire
+        self._release = release
         self._chunks: deque[Chunk] = deque()
         self._sent_bytes = 0  # in the first chunk
 
@@ -44,11 +45,11 @@
         """Copy the data to the end of the queue.
 
         Raises:
-            ConnectionClosedError: The pool has no buffer left. Part of the data may already have been copied.
+            ConnectionClosedError: No buffer is left. Part of the data may already have been copied.
         """
         while data:
             if not self._chunks or self._chunks[-1].filled_bytes == BUFFER_BYTES:
-                self._chunks.append(Chunk(self._buffers.acquire(self._may_use_reserve)))
+                self._chunks.append(Chunk(self._acquire()))
             chunk = self._chunks[-1]
             count = min(len(data), BUFFER_BYTES - chunk.filled_bytes)
             chunk.buffer[chunk.filled_bytes : chunk.filled_bytes + count] = data[:count]
@@ -67,13 +68,13 @@
         if self._sent_bytes < chunk.filled_bytes:
             return False
         self._chunks.popleft()
-        self._buffers.release(chunk.buffer)
+        self._release(chunk.buffer)
         self._sent_bytes = 0
         return True
 
     def clear(self) -> None:
         """Discard all unsent bytes and release the buffers."""
         for chunk in self._chunks:
-            self._buffers.release(chunk.buffer)
+            self._release(chunk.buffer)
         self._chunks.clear()
         self._sent_bytes = 0
--- a/nickelslip/server/streams.py
+++ b/nickelslip/server/streams.py
@@ -19,6 +19,7 @@
 
 LINGER_TIMEOUT_S = 0.5
 LINGER_READ_PAUSE_S = 0.005
+NO_BUFFER_DETAIL = "the buffer pool is exhausted"
 DISCARD_BUFFER = bytearray(4 * BUFFER_BYTES)  # receives bytes that are read only to be discarded
 
 
@@ -32,6 +33,9 @@
         stall_timeout_ms: How long the peer may pause in the middle of a message, or leave sent data unread.
         max_backlog_bytes: The backlog size in bytes above which `wait_until_backlog_shrinks` waits.
         may_use_reserve: Whether reserved buffers of the pool may be acquired.
+        free_memory: Called when the pool is exhausted. Returns whether memory was taken from another connection.
+        reads_into_scratch: Whether `fill` reads into the scratch buffer of the pool. The caller then has to call
+            `store_rest` before another task runs.
 
     Attributes:
         data: A buffer in which `data[start:end]` has been read but not yet consumed; None if there are no such bytes.
@@ -49,6 +53,8 @@
         stall_timeout_ms: float,
         max_backlog_bytes: int,
         may_use_reserve: bool = False,
+        free_memory: Callable[[], bool] = lambda: False,
+        reads_into_scratch: bool = False,
     ) -> None:
         sock.setblocking(False)
         if sock.family in (socket.AF_INET, socket.AF_INET6):
@@ -59,10 +65,13 @@
         self._stall_timeout_ms = stall_timeout_ms
         self._max_backlog_bytes = max_backlog_bytes
         self._may_use_reserve = may_use_reserve
+        self._free_memory = free_memory
+        self._reads_into_scratch = reads_into_scratch
+        self._read_end_reason: CloseReason | None = None
         self.data: bytearray | None = None
         self.start = 0
         self.end = 0
-        self._backlog = SendBacklog(buffers, may_use_reserve)
+        self._backlog = SendBacklog(self._acquire_buffer, buffers.release)
         self._backlog_shrunk = anyio.Event()
         self.shut_down_reason: CloseReason | None = None
         self.close_reason: CloseReason | None = None
@@ -74,8 +83,8 @@
 
         Raises:
             ConnectionClosedError: The peer closed or reset the connection, nothing was received in time, the message
-                is too large, no buffer is left, or this side has ended the stream. Bytes received after `shut_down`
-                are not read here because they could not be answered.
+                is too large, no buffer is left, or this side has ended the stream. Bytes received after
+                `stop_reading` or `shut_down` are not read here because they could not be answered.
         """
         self._raise_if_ended()
         if self.data is not None:
@@ -91,6 +100,24 @@
         self.start = max(self.start, end_index)
         self._release_if_empty()
 
+    def store_rest(self) -> None:
+        """Move the unconsumed bytes out of the scratch buffer.
+
+        Raises:
+            ConnectionClosedError: There is no memory left for them; they are discarded.
+        """
+        if self.data is not self._buffers.scratch:
+            return
+        rest = memoryview(self.data)[self.start : self.end]
+        stored = self._buffers.store(rest)
+        while stored is None and self._free_memory():
+            stored = self._buffers.store(rest)
+        self._release_buffer()
+        if stored is None:
+            raise ConnectionClosedError(CloseReason.SHED, NO_BUFFER_DETAIL)
+        self.data = stored
+        self.end = len(rest)
+
     async def wait_until_backlog_shrinks(self) -> None:
         """Wait until the backlog has shrunk to `max_backlog_bytes`, or the stream has ended."""
         while self._backlog.allocated_bytes > self._max_backlog_bytes and not self.close_reason:
@@ -117,8 +144,13 @@
 
     @property
     def is_open_without_pending_input(self) -> bool:
-        """Whether the stream is open and neither bytes nor end-of-file are waiting to be read."""
-        if self.shut_down_reason or self.close_reason or self.data is not None:
+        """Whether the stream is open, and everything that was received has been consumed."""
+        return self.data is None and self.has_read_all_input
+
+    @property
+    def has_read_all_input(self) -> bool:
+        """Whether the stream is open and neither bytes nor end-of-file are waiting in the socket."""
+        if self._end_reason is not None:
             return False
         try:
             self._sock.recv(1, socket.MSG_PEEK)
@@ -128,10 +160,14 @@
             pass
         return False
 
+    @property
+    def _end_reason(self) -> CloseReason | None:
+        """Why nothing more is read; None while messages are read."""
+        return self._read_end_reason or self.shut_down_reason or self.close_reason
+
     def _raise_if_ended(self) -> None:
-        reason = self.shut_down_reason or self.close_reason
-        if reason is not None:
-            raise ConnectionClosedError(reason)
+        if self._end_reason is not None:
+            raise ConnectionClosedError(self._end_reason)
 
     async def _wait_until_readable(self, wait_ms: float) -> CloseReason | None:
         """Wait until the socket is readable; return None, or the reason to close the stream after a timeout."""
@@ -148,22 +184,40 @@
         try:
             await wait_function(self._sock)
         except (anyio.ClosedResourceError, OSError, ValueError):
-            raise ConnectionClosedError(self.shut_down_reason or self.close_reason or CloseReason.RESET) from None
+            raise ConnectionClosedError(self._end_reason or CloseReason.RESET) from None
 
     def _buffer_with_space(self) -> bytearray:
         """Return the buffer to read into, with unconsumed bytes moved to its beginning."""
-        if self.data is None:
-            self.data = self._buffers.acquire(self._may_use_reserve)
-            self.start = 0
-            self.end = 0
-        elif self.start:
-            remaining_bytes = self.end - self.start
-            self.data[:remaining_bytes] = self.data[self.start : self.end]
-            self.start = 0
-            self.end = remaining_bytes
+        old = self.data
+        data = old
+        if self._reads_into_scratch:
+            data = self._buffers.scratch
+        elif data is None:
+            data = self._acquire_buffer()
+        rest_bytes = self.end - self.start
+        if old is not None and (old is not data or self.start):
+            data[:rest_bytes] = old[self.start : self.end]
+        if old is not data and old is not None:
+            self._buffers.release(old)
+        self.data = data
+        self.start = 0
+        self.end = rest_bytes
         if self.end == BUFFER_BYTES:
             raise ConnectionClosedError(CloseReason.MALFORMED, "message exceeds the buffer size")
-        return self.data
+        return data
+
+    def _acquire_buffer(self) -> bytearray:
+        """Return a buffer, which may be taken from another connection.
+
+        Raises:
+            ConnectionClosedError: None is left.
+        """
+        buffer = self._buffers.acquire(self._may_use_reserve)
+        while buffer is None and self._free_memory():
+            buffer = self._buffers.acquire(self._may_use_reserve)
+        if buffer is None:
+            raise ConnectionClosedError(CloseReason.SHED, NO_BUFFER_DETAIL)
+        return buffer
 
     def _receive(self, data: bytearray, timeout_reason: CloseReason | None) -> int:
         """Read into the buffer and return the number of bytes; 0 after a spurious wake-up.
@@ -199,6 +253,11 @@
         """Whether the backlog is empty."""
         return self._backlog.is_empty
 
+    @property
+    def backlog_bytes(self) -> int:
+        """The size in bytes of the buffers that hold the backlog."""
+        return self._backlog.allocated_bytes
+
     def write(self, data: bytes) -> bool:
         """Send as much as the socket accepts immediately, and add the rest to the backlog.
 
@@ -252,6 +311,17 @@
         if self._backlog.mark_sent(sent_bytes):  # a buffer was released
             self._backlog_shrunk.set()
 
+    def stop_reading(self, reason: CloseReason) -> None:
+        """Discard the received bytes and read no more; `fill` then raises with this reason. Answers can still be sent.
+
+        Call it only when the backlog is empty, since the task that sends it would be interrupted.
+        """
+        if self._end_reason is not None:
+            return
+        self._read_end_reason = reason
+        self._release_buffer()
+        anyio.notify_closing(self._sock)
+
     def shut_down(self, reason: CloseReason) -> None:
         """Begin a lingering close by shutting down the write side. Call it only when the backlog is empty.
 
--- a/nickelslip/server/tagged_requests.py
+++ b/nickelslip/server/tagged_requests.py
@@ -50,7 +50,7 @@
         stream: Stream,
         log: ConnectionLog,
         on_valid_message: Callable[[], None],
-        on_answered: Callable[[], None],
+        on_answered: Callable[[Answer], None],
     ) -> None:
         self._server = server
         self._stream = stream
@@ -162,7 +162,7 @@
         """Write the answer to a request, which is then no longer open."""
         self._requests.pop(tag, None)
         self._stream.write(encode_answer(tag, answer))
-        self._on_answered()
+        self._on_answered(answer)
         self._notify_if_drained()
 
     def _notify_if_drained(self) -> None:
