--- a/nickelslip/configuration/change_checks.py
+++ b/nickelslip/configuration/change_checks.py
@@ -33,7 +33,9 @@
     return None
 
 
-def state_after_verdict(verdict: CanaryVerdict, elapsed_ms: float, rules: ChangeRules) -> ChangeState | None:
+def state_after_verdict(
+    verdict: CanaryVerdict, elapsed_ms: float, rules: ChangeRules, is_return: bool = False
+) -> ChangeState | None:
     """Return the state to which a verdict moves a change in its canary period, or None if it stays there.
 
     After the maximum canary period, a change is confirmed unless harm was found or is suspected, even if the data is
@@ -43,9 +45,10 @@
         verdict: The verdict.
         elapsed_ms: The time since the canary period began.
         rules: The change rules in force.
+        is_return: Whether the change goes back to a confirmed generation, and is confirmed even if harm is found.
     """
     if verdict.status is CanaryStatus.HARM:
-        return ChangeState.ROLLED_BACK
+        return ChangeState.CONFIRMED if is_return else ChangeState.ROLLED_BACK
     if elapsed_ms >= rules.max_canary_period_ms and verdict.status is not CanaryStatus.SUSPECTED:
         return ChangeState.CONFIRMED
     if elapsed_ms >= rules.canary_period_ms and verdict.status is CanaryStatus.NO_HARM:
--- a/nickelslip/configuration/change_lifecycle.py
+++ b/nickelslip/configuration/change_lifecycle.py
@@ -93,6 +93,8 @@
         base_generation: The generation against which the change was planned.
         plan: The differences from the base generation.
         forced: Whether the change is accepted even if the same document was rolled back recently.
+        is_return: Whether the change goes back to a confirmed generation. It is confirmed from the start and never
+            rolled back: otherwise what it undoes would come back.
         state: The current state.
         state_entered_at_ms: When the change entered the state. Time that does not count towards the canary period is
             added to it.
@@ -108,6 +110,7 @@
     base_generation: Generation
     plan: Plan
     forced: bool = False
+    is_return: bool = False
     state: ChangeState = ChangeState.DRAFTED
     state_entered_at_ms: float = 0.0
     reason: str = ""
--- a/nickelslip/configuration/change_manager.py
+++ b/nickelslip/configuration/change_manager.py
@@ -79,10 +79,24 @@
         return self.in_force.generation.config.changes
 
     def draft(
-        self, now_ms: float, config: Config, document: Document, origin: str, forced: bool = False
+        self,
+        now_ms: float,
+        config: Config,
+        document: Document,
+        origin: str,
+        forced: bool = False,
+        is_return: bool = False,
     ) -> ConfigurationChange:
         """Create and validate a change that puts this document into force.
 
+        Args:
+            now_ms: The current time.
+            config: The configuration of the document.
+            document: The complete document.
+            origin: Where the change comes from.
+            forced: Whether the document is accepted even if it was rolled back recently.
+            is_return: Whether the document is that of a confirmed generation, to which the change goes back.
+
         Raises:
             ChangeRejectedError: The document changes nothing, needs a restart, or was rolled back recently and is not
                 forced.
@@ -97,6 +111,7 @@
             base_generation=self.in_force.generation,
             plan=plan_of(self.in_force.document, document),
             forced=forced,
+            is_return=is_return,
         )
         error = draft_error(change, self._rolled_back_documents.remaining_ms(change.digest, now_ms))
         if error is not None:
@@ -176,15 +191,19 @@
         """Record that the generation of the current change has been adopted.
 
         Returns:
-            The record of the confirmation if the change needs no canary period, else None.
+            The record of the confirmation if the change is confirmed from the start, else None.
         """
         change = self._require_current(ChangeState.APPLYING)
         assert change.generation is not None
         self.in_force = GenerationSnapshot(change.generation, change.document, change.digest)
-        if change.needs_canary_period:
-            self._enter(change, ChangeState.CANARY, now_ms)
+        if not change.needs_canary_period:
+            return self._confirm(change, now_ms, "needs no probation")
+        self._enter(change, ChangeState.CANARY, now_ms)
+        if not change.is_return:
             return None
-        return self._confirm(change, now_ms, "needs no probation")
+        self._confirmed.add(self.in_force)
+        reason = "goes back to a confirmed generation"
+        return self.records.add_change(HistoryEvent.CONFIRMED, change, now_ms, reason, self.in_force.document)
 
     def mark_failed(self, now_ms: float, reason: str) -> HistoryRecord:
         """Record that the current change could not be applied. The generation in force stays the same.
@@ -201,6 +220,11 @@
         """Whether the current change is in its canary period."""
         return self.current is not None and self.current.state is ChangeState.CANARY
 
+    @property
+    def is_returning(self) -> bool:
+        """Whether the current change is in its canary period and goes back to a confirmed generation."""
+        return self.is_in_canary_period and self.current is not None and self.current.is_return
+
     def next_state(self, now_ms: float, verdict: CanaryVerdict) -> ChangeState | None:
         """Return the state to which a verdict moves the change in its canary period, or None if it stays there.
 
@@ -208,7 +232,8 @@
         """
         if self.current is None or self.current.state is not ChangeState.CANARY:
             return None
-        return state_after_verdict(verdict, now_ms - self.current.state_entered_at_ms, self.rules)
+        elapsed_ms = now_ms - self.current.state_entered_at_ms
+        return state_after_verdict(verdict, elapsed_ms, self.rules, self.current.is_return)
 
     def extend_canary_period(self, duration_ms: float) -> None:
         """Extend the canary period by a time during which the change could not be observed."""
@@ -226,7 +251,8 @@
 
     def _confirm(self, change: ConfigurationChange, now_ms: float, reason: str) -> HistoryRecord:
         self.current = None
-        self._confirmed.add(self.in_force)
+        if not (change.is_return and change.state is ChangeState.CANARY):
+            self._confirmed.add(self.in_force)
         self._enter(change, ChangeState.CONFIRMED, now_ms, reason)
         # The change's own document may be out of date: peer addresses can change during the canary period.
         return self.records.add_change(HistoryEvent.CONFIRMED, change, now_ms, reason, self.in_force.document)
@@ -239,9 +265,11 @@
             the change, unless peer addresses were replaced during the canary period.
 
         Raises:
-            ChangeRejectedError: No change is in its canary period.
+            ChangeRejectedError: No change that can be rolled back is in its canary period.
         """
         change = self._require_current(ChangeState.CANARY)
+        if change.is_return:
+            raise ChangeRejectedError(RejectionReason.NOT_FOUND, "what is observed goes back to a confirmed generation")
         self.current = None
         self.in_force = self._confirmed.latest
         self._rolled_back_documents.add(change.digest, now_ms + self.rules.rejected_after_rollback_ms)
@@ -268,7 +296,7 @@
         """
         generation = self._next_generation(config, origin, now_ms)
         self.in_force = GenerationSnapshot(generation, document, digest_of(document))
-        if self.current is None:
+        if self.current is None or self.is_returning:
             self._confirmed.add(self.in_force)
         else:
             self._confirmed.replace_peer_addresses_of_latest(self.in_force)
--- a/nickelslip/server/canary_watcher.py
+++ b/nickelslip/server/canary_watcher.py
@@ -63,8 +63,16 @@
             await self._evaluate()
         except Exception as error:
             self._server.log.error("canary_analysis_failed", error=repr(error), exc_info=error)
-            if self._changes.is_in_canary_period:
-                await self._applier.roll_back(f"the judge failed: {error!r}"[:MAX_ERROR_LENGTH])
+            await self._end_unwatched(f"the judge failed: {error!r}"[:MAX_ERROR_LENGTH])
+
+    async def _end_unwatched(self, reason: str) -> None:
+        """End the canary period of a change that cannot be evaluated."""
+        if not self._changes.is_in_canary_period:
+            return
+        if self._changes.is_returning:
+            await self._applier.confirm(self._server.clock(), reason)
+        else:
+            await self._applier.roll_back(reason)
 
     async def _evaluate(self) -> None:
         if not self._observation.is_active:
@@ -87,4 +95,6 @@
 def _confirmation_reason(verdict: CanaryVerdict) -> str:
     if verdict.status is CanaryStatus.NO_HARM:
         return verdict.reason
+    if verdict.status is CanaryStatus.HARM:
+        return f"what was undone does not come back: {verdict.reason}"
     return f"nothing speaks against it: {verdict.reason}"
--- a/nickelslip/server/change_applier.py
+++ b/nickelslip/server/change_applier.py
@@ -47,7 +47,9 @@
         self._observation = observation
         self.adoption_times_us: list[float] = []
 
-    def draft(self, config: Config, document: Document, origin: str, forced: bool) -> ConfigurationChange:
+    def draft(
+        self, config: Config, document: Document, origin: str, forced: bool, is_return: bool = False
+    ) -> ConfigurationChange:
         """Return a validated change to this document.
 
         Validation creates an admission controller with the new settings. An error in its constructor would otherwise
@@ -57,7 +59,7 @@
             ChangeRejectedError: The change cannot be applied.
         """
         now_ms = self._server.clock()
-        change = self._changes.draft(now_ms, config, document, origin, forced)
+        change = self._changes.draft(now_ms, config, document, origin, forced, is_return)
         try:
             AdmissionController(Generation(0, config).settings, 0, 0.0)
         except Exception as error:
@@ -121,11 +123,12 @@
         self._observation.set_objectives_during_change(old_objectives_ms, change.generation.latency_objectives_ms)
         confirmation = self._changes.mark_applied(self._server.clock())
         self._observation.verdict = None
-        if confirmation is None:
+        if self._changes.is_in_canary_period:
             self._observation.begin(baseline, self._changes.rules.standard_errors)
-            return
-        self._observation.end()
-        await self._history.write_or_queue(confirmation)
+        else:
+            self._observation.end()
+        if confirmation is not None:
+            await self._history.write_or_queue(confirmation)
 
     async def confirm(self, now_ms: float, reason: str) -> None:
         """Confirm the change in its canary period.
@@ -141,7 +144,7 @@
         """Roll back the change in its canary period, and exclude its time span from later baselines.
 
         Raises:
-            ChangeRejectedError: No change is in its canary period.
+            ChangeRejectedError: No change that can be rolled back is in its canary period.
         """
         change = self._changes.current
         if change is not None and change.generation is not None:
--- a/nickelslip/server/configuration_manager.py
+++ b/nickelslip/server/configuration_manager.py
@@ -173,22 +173,27 @@
         return results.ChangeResult(change)
 
     async def _roll_back(self, command: commands.RollbackCommand) -> results.ChangeResult:
-        """Roll back the current change, or apply the document of an earlier generation as a new change.
+        """Roll back the current change, or go back to an earlier generation.
 
-        The latter happens if no change is in progress or the command names a generation.
+        The latter happens if no change is in its canary period, or the command names a generation. A generation that
+        is named is applied like any other change. Otherwise the change is undone, and the way back is confirmed from
+        the start.
         """
         expected_origin = command.expected_origin
         if expected_origin is not None and expected_origin != self.changes.in_force.generation.origin:
             detail = "what is in force came from elsewhere than what is to be undone"
             raise ChangeRejectedError(RejectionReason.SUPERSEDED, detail)
         current = self.changes.current
-        if current is not None and command.generation is None:
+        if current is not None and command.generation is None and not self.changes.is_returning:
             await self._applier.roll_back("undone by an operator")
             return results.ChangeResult(current)
         earlier = self.changes.earlier_snapshot(command.generation)
+        if self.changes.is_returning:
+            await self._applier.confirm(self._server.clock(), "another way back follows")
         document = {**earlier.document, "peers": self.changes.in_force.document["peers"]}
         origin = f"back to generation {earlier.generation.number}"
-        change = self._applier.draft(config_from(document), document, origin, True)
+        is_return = command.generation is None
+        change = self._applier.draft(config_from(document), document, origin, True, is_return)
         await self._applier.stage_and_apply(change)
         return results.ChangeResult(change)
 
