--- a/nickelslip/configuration/change_commands.py
+++ b/nickelslip/configuration/change_commands.py
@@ -7,6 +7,7 @@
 
 import click
 
+from nickelslip.configuration.change_reference import ChangeReference, decode_references
 from nickelslip.configuration.command_options import (
     FILES_ARGUMENT,
     FORCE_OPTION,
@@ -17,6 +18,7 @@
 from nickelslip.configuration.command_output import ExitCode, exit_with, print_result
 from nickelslip.configuration.command_requests import ask_server, send_files
 
+MS_PER_S = 1000
 POLL_INTERVAL_S = 0.5
 DIGEST_LENGTH = 12  # number of leading characters of a digest that the history shows
 
@@ -54,7 +56,7 @@
     """Apply a change, which starts its canary period."""
     reply = send_files("apply", path, files, whole, force, as_json) if files else ask_server(path, "apply", as_json)
     change = reply["change"]
-    if not wait or change["step"] == "confirmed":
+    if not wait:
         line = f"change {change['number']} is in force, {_with_spaces(change['step'])}"
         print_result(reply, as_json, [line])
         return
@@ -62,19 +64,25 @@
 
 
 def _wait_for_confirmation(path: str, change: dict[str, Any], timeout_ms: float, as_json: bool) -> None:
-    """Poll the status until the change is confirmed. A rollback or the timeout ends the program."""
-    deadline_s = time.monotonic() + timeout_ms / 1000
+    """Poll the status until the change is confirmed for good. A rollback or the timeout ends the program.
+
+    The change is known by its reference: the digest of what is in force also changes when peers move.
+    """
+    reference = ChangeReference(change["generation"], change["applied_ms"], change["origin"])
+    deadline_s = time.monotonic() + timeout_ms / MS_PER_S
     while time.monotonic() < deadline_s:
         status = ask_server(path, "status", as_json)
-        if status["digest"] != change["digest"]:
+        if reference not in decode_references(status["changes"]):
             reason = (status.get("verdict") or {}).get("reason", "undone")
             value = {**status, "ok": False, "code": "undone"}
             exit_with(ExitCode.ROLLED_BACK, value, as_json, [f"undone: {reason}"])
-        if status["step"] == "confirmed":
-            print_result(status, as_json, [f"change {change['number']} is confirmed"])
+        if status["step"] == "confirmed" and not status["history_behind"]:
+            suffix = "" if status["history_kept"] else ", until the next restart: no history is kept"
+            print_result(status, as_json, [f"change {change['number']} is confirmed{suffix}"])
             return
         time.sleep(POLL_INTERVAL_S)
-    exit_with(ExitCode.UNREACHABLE, {"ok": False, "code": "late"}, as_json, ["still on probation"])
+    lines = ["not known to be confirmed: still on probation, or not in the history yet"]
+    exit_with(ExitCode.UNREACHABLE, {"ok": False, "code": "late"}, as_json, lines)
 
 
 @click.command(help="End the probation: what is in force stays.")
--- a/nickelslip/configuration/change_lifecycle.py
+++ b/nickelslip/configuration/change_lifecycle.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from nickelslip.configuration.change_reference import ChangeReference, ChangeReferences, with_reference
 from nickelslip.configuration.config import Config
 from nickelslip.configuration.document import Document
 from nickelslip.configuration.generations import Generation
@@ -93,6 +94,7 @@
         base_generation: The generation against which the change was planned.
         plan: The differences from the base generation.
         forced: Whether the change is accepted even if the same document was rolled back recently.
+        inherited_changes: The earlier changes on which the document is based.
         is_return: Whether the change goes back to a confirmed generation. It is confirmed from the start and never
             rolled back: otherwise what it undoes would come back.
         state: The current state.
@@ -110,12 +112,21 @@
     base_generation: Generation
     plan: Plan
     forced: bool = False
+    inherited_changes: ChangeReferences = ()
     is_return: bool = False
     state: ChangeState = ChangeState.DRAFTED
     state_entered_at_ms: float = 0.0
     reason: str = ""
     generation: Generation | None = None
 
+    @property
+    def references(self) -> ChangeReferences:
+        """The changes on which the generation of this change is based, once it was created."""
+        if self.is_return or self.generation is None:
+            return self.inherited_changes
+        own = ChangeReference(self.generation.number, self.generation.created_at_ms, self.origin)
+        return with_reference(self.inherited_changes, own)
+
     @property
     def needs_canary_period(self) -> bool:
         """Whether the change needs a canary period. Changes to only peer addresses or only change rules need none."""
--- a/nickelslip/configuration/change_manager.py
+++ b/nickelslip/configuration/change_manager.py
@@ -22,6 +22,7 @@
     RejectionReason,
 )
 from nickelslip.configuration.change_records import ChangeRecords
+from nickelslip.configuration.change_reference import ChangeReferences
 from nickelslip.configuration.change_results import Adoption, ChangeStatus, StartedChange
 from nickelslip.configuration.config import ChangeRules, Config
 from nickelslip.configuration.confirmed_generations import ConfirmedGenerations
@@ -30,6 +31,7 @@
 from nickelslip.configuration.generations import Generation, digest_of
 from nickelslip.configuration.history import HistoryEvent, HistoryRecord
 from nickelslip.configuration.plan import plan_of
+from nickelslip.configuration.restored_generations import changes_at_start, earlier_snapshots
 from nickelslip.configuration.rolled_back_documents import RolledBackDocuments
 
 
@@ -58,8 +60,10 @@
         file_digest: str,
         on_transition: Callable[[ConfigurationChange], None] = lambda change: None,
     ) -> None:
-        self.in_force = GenerationSnapshot(generation, document, digest_of(document))
-        self._confirmed = ConfirmedGenerations(self.in_force)
+        self.in_force = GenerationSnapshot(
+            generation, document, digest_of(document), changes_at_start(records, generation)
+        )
+        self._confirmed = ConfirmedGenerations(self.in_force, earlier_snapshots(records, generation.number))
         self.staged: ConfigurationChange | None = None
         self.current: ConfigurationChange | None = None
         self.records = ChangeRecords(records, file_digest)
@@ -85,6 +89,7 @@
         document: Document,
         origin: str,
         forced: bool = False,
+        inherited_changes: ChangeReferences = (),
         is_return: bool = False,
     ) -> ConfigurationChange:
         """Create and validate a change that puts this document into force.
@@ -95,6 +100,7 @@
             document: The complete document.
             origin: Where the change comes from.
             forced: Whether the document is accepted even if it was rolled back recently.
+            inherited_changes: The earlier changes on which the document is based.
             is_return: Whether the document is that of a confirmed generation, to which the change goes back.
 
         Raises:
@@ -111,6 +117,7 @@
             base_generation=self.in_force.generation,
             plan=plan_of(self.in_force.document, document),
             forced=forced,
+            inherited_changes=inherited_changes,
             is_return=is_return,
         )
         error = draft_error(change, self._rolled_back_documents.remaining_ms(change.digest, now_ms))
@@ -195,7 +202,7 @@
         """
         change = self._require_current(ChangeState.APPLYING)
         assert change.generation is not None
-        self.in_force = GenerationSnapshot(change.generation, change.document, change.digest)
+        self.in_force = GenerationSnapshot(change.generation, change.document, change.digest, change.references)
         if not change.needs_canary_period:
             return self._confirm(change, now_ms, "needs no probation")
         self._enter(change, ChangeState.CANARY, now_ms)
@@ -271,8 +278,10 @@
         if change.is_return:
             raise ChangeRejectedError(RejectionReason.NOT_FOUND, "what is observed goes back to a confirmed generation")
         self.current = None
+        rejected_until_ms = now_ms + self.rules.rejected_after_rollback_ms
+        for digest in (change.digest, self.in_force.digest):  # they differ if peer addresses were replaced
+            self._rolled_back_documents.add(digest, rejected_until_ms)
         self.in_force = self._confirmed.latest
-        self._rolled_back_documents.add(change.digest, now_ms + self.rules.rejected_after_rollback_ms)
         self._enter(change, ChangeState.ROLLED_BACK, now_ms, reason)
         record = self.records.add_change(HistoryEvent.ROLLED_BACK, change, now_ms, reason)
         return Adoption(self.in_force.generation, record)
@@ -288,6 +297,21 @@
         """
         return self._confirmed.earlier_than(self.in_force, generation)
 
+    def snapshot_before(self, origin: str) -> GenerationSnapshot:
+        """Return the confirmed generation to which a change of this origin is undone.
+
+        Raises:
+            ChangeRejectedError: Nothing in force comes from this origin, another change is based on the change, or no
+                generation before it is kept.
+        """
+        origins = [change.origin for change in self.in_force.changes]
+        if origin not in origins:
+            raise ChangeRejectedError(RejectionReason.NOT_FOUND, "what is to be undone is not in force")
+        if origin != origins[-1]:
+            detail = "what is in force is based on what is to be undone, and came from elsewhere"
+            raise ChangeRejectedError(RejectionReason.SUPERSEDED, detail)
+        return self._confirmed.latest_without(origin)
+
     def replace_peer_addresses(self, now_ms: float, config: Config, document: Document, origin: str) -> Adoption:
         """Put a configuration that differs only in peer addresses into force, even if a change is staged or current.
 
@@ -295,9 +319,9 @@
         be rolled back get the new addresses. A staged change is superseded, and is rejected when it is to be applied.
         """
         generation = self._next_generation(config, origin, now_ms)
-        self.in_force = GenerationSnapshot(generation, document, digest_of(document))
+        self.in_force = GenerationSnapshot(generation, document, digest_of(document), self.in_force.changes)
         if self.current is None or self.is_returning:
-            self._confirmed.add(self.in_force)
+            self._confirmed.replace_latest(self.in_force)
         else:
             self._confirmed.replace_peer_addresses_of_latest(self.in_force)
         record = self.records.add_moved_peers(self._confirmed.latest, origin, now_ms)
--- a/nickelslip/configuration/change_records.py
+++ b/nickelslip/configuration/change_records.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 
 from nickelslip.configuration.change_lifecycle import ConfigurationChange
+from nickelslip.configuration.change_reference import ChangeReferences
 from nickelslip.configuration.document import Document
 from nickelslip.configuration.generation_snapshot import GenerationSnapshot
 from nickelslip.configuration.history import HistoryEvent, HistoryRecord
@@ -47,6 +48,7 @@
             now_ms=now_ms,
             reason=reason,
             document=document,
+            changes=change.references if document is not None else (),
         )
 
     def add_moved_peers(self, confirmed: GenerationSnapshot, origin: str, now_ms: float) -> HistoryRecord:
@@ -59,6 +61,7 @@
             now_ms=now_ms,
             reason="peers moved",
             document=confirmed.document,
+            changes=confirmed.changes,
         )
 
     def add(
@@ -71,6 +74,7 @@
         now_ms: float,
         reason: str,
         document: Document | None,
+        changes: ChangeReferences = (),
     ) -> HistoryRecord:
         """Create a record, add it and return it for writing."""
         self._last_sequence_number += 1
@@ -84,6 +88,7 @@
             reason=reason,
             document=document,
             file_digest=self.file_digest,
+            changes=changes,
         )
         self.latest.append(record)
         return record
--- a/nickelslip/configuration/change_results.py
+++ b/nickelslip/configuration/change_results.py
@@ -30,7 +30,7 @@
     """The generation in force, the change in progress and the staged change.
 
     Attributes:
-        in_force: The generation in force.
+        in_force: The generation in force, and the changes on which it is based.
         confirmed_generation: Number of the last confirmed generation.
         current: The change being applied or in its canary period.
         staged: The staged change.
--- a/nickelslip/configuration/generations.py
+++ b/nickelslip/configuration/generations.py
@@ -20,6 +20,7 @@
 CACHED_RESPONSES_MEMORY_FRACTION = 1 / 4  # of this process's memory, for responses kept for retries
 CACHED_RESPONSE_KB = 6.0  # size of an idempotency record in this process with a response of maximum size
 KB_PER_MB = 1024
+PEERS_SECTION = "peers"
 
 
 @dataclass(frozen=True, eq=False)
@@ -92,6 +93,11 @@
     return json.dumps(compared, sort_keys=True, separators=(",", ":"), ensure_ascii=False).encode()
 
 
+def settings_of(document: Mapping[str, Any]) -> bytes:
+    """Return the canonical text of a document without the addresses of peers, which may move while it is in force."""
+    return canonical_bytes({section: inner for section, inner in document.items() if section != PEERS_SECTION})
+
+
 def digest_of(document: Mapping[str, Any]) -> str:
     """Return the digest that identifies a document: the XXH3-128 of its canonical text as 32 hex digits."""
     import xxhash  # an optional dependency, only needed if changes are enabled
--- a/nickelslip/configuration/history.py
+++ b/nickelslip/configuration/history.py
@@ -16,6 +16,9 @@
 
 import orjson
 
+from nickelslip.configuration.change_reference import ChangeReferences, decode_references
+from nickelslip.configuration.generations import settings_of
+
 MAGIC = b"nickelslip history 1\n"
 RECORD_HEADER = struct.Struct(">IQ")
 MAX_RECORD_BYTES = 1 << 20
@@ -63,6 +66,7 @@
         document: The complete document, if the generation may be restored at a start.
         file_digest: Digest of the document in the configuration files at that time. If the files differ from it at a
             start, they take precedence over the history.
+        changes: The changes on which the document is based; empty if they were not recorded.
     """
 
     sequence_number: int
@@ -74,6 +78,7 @@
     reason: str = ""
     document: dict[str, Any] | None = None
     file_digest: str = ""
+    changes: ChangeReferences = ()
 
 
 class DecodedHistory(NamedTuple):
@@ -92,7 +97,7 @@
 
 def _stored_from_record(record: HistoryRecord) -> dict[str, Any]:
     """Return the JSON object to store for a record."""
-    return {
+    stored: dict[str, Any] = {
         "at": record.sequence_number,
         "event": STORED_EVENTS[record.event],
         "generation": record.generation,
@@ -103,6 +108,9 @@
         "document": record.document,
         "base": record.file_digest,
     }
+    if record.changes:
+        stored["changes"] = [change.as_dict() for change in record.changes]
+    return stored
 
 
 def _record_from_stored(stored: dict[str, Any]) -> HistoryRecord:
@@ -122,6 +130,7 @@
         reason=stored.get("reason", ""),
         document=stored.get("document"),
         file_digest=stored.get("base", ""),
+        changes=decode_references(stored.get("changes", ())),
     )
 
 
@@ -189,14 +198,25 @@
     return None
 
 
+def _last_confirmed_with_other_settings(records: list[HistoryRecord], current: HistoryRecord) -> HistoryRecord | None:
+    """Return the last confirming record before `current` whose document differs in more than peer addresses."""
+    assert current.document is not None
+    settings = settings_of(current.document)
+    for record in reversed(records[: records.index(current)]):
+        if record.event in CONFIRMING_EVENTS and record.document and settings_of(record.document) != settings:
+            return record
+    return None
+
+
 def compact(records: list[HistoryRecord]) -> list[HistoryRecord]:
     """Return the records that a compacted file keeps.
 
     These are the latest COMPACTED_RECORD_COUNT records, and always those of the last confirmed generation and of the
-    one confirmed before it, to which an operator may return. Only these two records keep their documents.
+    one confirmed before it with other settings, to which an operator may return. Only these two records keep their
+    documents.
     """
     current = last_confirmed(records)
-    previous = last_confirmed(records[: records.index(current)]) if current else None
+    previous = _last_confirmed_with_other_settings(records, current) if current else None
     restorable = [record for record in (previous, current) if record is not None]
     latest = records[-COMPACTED_RECORD_COUNT:]
     kept = [record for record in restorable if record not in latest] + latest
--- a/nickelslip/configuration/rollout.py
+++ b/nickelslip/configuration/rollout.py
@@ -4,6 +4,9 @@
 back or rejects it, if too many are unreachable, or if no target of a wave confirms the document. A target that is down
 or replies late never counts as confirmed, and the time to wait for it is bounded.
 
+Before the rollout or the rollback ends, each target is asked which changes are in force. A target that does not tell
+counts as unreachable, or as not rolled back.
+
 ``Rollout`` decides on the next action for each target and evaluates the replies. It has no clock and does no I/O:
 ``rollout_runner`` carries out its instructions and records the replies.
 """
@@ -15,6 +18,7 @@
 from math import ceil, inf
 from typing import Any
 
+from nickelslip.configuration.rollout_replies import TargetStatus, decode_status, reason_of
 from nickelslip.configuration.rollout_states import (
     ACTION_BY_STATE,
     FINISHED_STATUSES,
@@ -35,10 +39,11 @@
 REJECTION_CODES = ("faulty", "restart", "undone", "unproven", "improper", "leaving", "history", "none")
 UNCHANGED_CODE = "nothing"
 TOO_LATE_CODE = "late"
-NOT_IN_FORCE_CODES = ("overtaken", "none")
+NOT_IN_FORCE_CODE = "none"
 
-MAX_REASON_LENGTH = 200  # characters of a reason given by a target
 MAX_LISTED_TARGETS = 5
+UNKNOWN_CHANGES = "its status does not tell which changes are in force"
+NO_HISTORY = "until its next restart, since it keeps no history"
 
 
 @dataclass
@@ -53,6 +58,7 @@
         last_reply_at_ms: When it last replied; before the first reply, when it was first asked.
         next_action_at_ms: When the next action is due.
         is_action_pending: Whether an action is being carried out at it.
+        had_document: Whether it had the document in force before, so that it is neither changed nor rolled back.
     """
 
     name: str
@@ -62,6 +68,7 @@
     last_reply_at_ms: float = 0.0
     next_action_at_ms: float = 0.0
     is_action_pending: bool = False
+    had_document: bool = False
 
 
 def wave_ends(target_count: int, wave_fractions: Sequence[float]) -> list[int]:
@@ -101,6 +108,7 @@
         self.status = RolloutStatus.IN_PROGRESS
         self.reason = ""
         self._rollback_began_at_ms = inf
+        self._is_verifying = False
         self._begin_next_wave(now_ms)
 
     def _enter(self, target: _Target, state: TargetState, now_ms: float, reason: str = "") -> None:
@@ -128,9 +136,20 @@
         self.wave += 1
         for target in self._asked_targets():
             if target.state is TargetState.PENDING:
-                self._enter(target, TargetState.APPLYING, now_ms)
-                target.last_reply_at_ms = now_ms
-                target.next_action_at_ms = now_ms
+                self._ask(target, TargetState.APPLYING, now_ms)
+
+    def _ask(self, target: _Target, state: TargetState, now_ms: float) -> None:
+        """Move a target to a state in which it is asked at once."""
+        self._enter(target, state, now_ms)
+        target.last_reply_at_ms = now_ms
+        target.next_action_at_ms = now_ms
+
+    def _begin_verification(self, now_ms: float) -> None:
+        """Ask each target once more whether it has the document in force."""
+        self._is_verifying = True
+        for target in self._targets.values():
+            if target.state is TargetState.CONFIRMED and not target.had_document:
+                self._ask(target, TargetState.IN_CANARY_PERIOD, now_ms)
 
     def advance(self, now_ms: float) -> list[Instruction]:
         """Apply timeouts, update the wave or the rollback, and return the instructions to carry out now.
@@ -165,7 +184,7 @@
         if target.state in UNDECIDED_STATES and since_reply_ms > self._policy.unreachable_after_ms:
             self._enter(target, TargetState.UNREACHABLE, now_ms, "no answer in time")
         elif target.state is TargetState.IN_CANARY_PERIOD and in_state_ms > self._policy.canary_timeout_ms:
-            self._enter(target, TargetState.UNREACHABLE, now_ms, "its probation does not end")
+            self._enter(target, TargetState.UNREACHABLE, now_ms, target.reason or "its probation does not end")
 
     def _advance_wave(self, now_ms: float) -> None:
         """Begin the rollback if a target failed or too many are unreachable. Else continue once the wave is decided."""
@@ -185,6 +204,8 @@
             self._roll_back(now_ms, "a whole wave is lost")
         elif self.wave + 1 < len(self._wave_ends):
             self._begin_next_wave(now_ms)
+        elif not self._is_verifying:
+            self._begin_verification(now_ms)
         else:
             self.status = RolloutStatus.COMPLETED
 
@@ -194,7 +215,7 @@
         self.reason = reason
         self._rollback_began_at_ms = now_ms
         for target in self._targets.values():
-            if target.state in STATES_TO_ROLL_BACK:
+            if target.state in STATES_TO_ROLL_BACK and not target.had_document:
                 self._enter(target, TargetState.ROLLBACK_PENDING, now_ms, target.reason)
                 target.next_action_at_ms = now_ms
 
@@ -203,7 +224,7 @@
         if now_ms - self._rollback_began_at_ms > self._policy.rollback_timeout_ms:
             for target in self._targets.values():
                 self._abort_rollback(target, now_ms)
-        states = [target.state for target in self._targets.values()]
+        states = [target.state for target in self._targets.values() if not target.had_document]
         if not all(state in STATES_DONE_WITH_ROLLBACK for state in states):
             return
         if TargetState.ROLLBACK_FAILED in states:
@@ -212,10 +233,11 @@
             self.status = RolloutStatus.ROLLED_BACK
 
     def _abort_rollback(self, target: _Target, now_ms: float) -> None:
+        reason = target.reason or "no answer while going back"
         if target.state is TargetState.ROLLBACK_PENDING:
             self._enter(target, TargetState.ROLLING_BACK, now_ms)
         if target.state is TargetState.ROLLING_BACK:
-            self._enter(target, TargetState.ROLLBACK_FAILED, now_ms, "no answer while going back")
+            self._enter(target, TargetState.ROLLBACK_FAILED, now_ms, reason)
 
     def record_reply(
         self,
@@ -223,7 +245,7 @@
         name: str,
         action: Action,
         reply: dict[str, Any] | None,
-        digest: str,
+        origin: str,
     ) -> None:
         """Record the outcome of an instruction.
 
@@ -232,51 +254,65 @@
             name: The target of the instruction.
             action: The action of the instruction.
             reply: The reply of the target, or None if there was none in time.
-            digest: Digest of the document at this target, taken from its reply to ``Action.APPLY``.
+            origin: The origin of the change, by which a target knows it.
         """
         target = self._targets[name]
         target.is_action_pending = False
         if reply is None:
-            if target.state is TargetState.ROLLING_BACK:
+            if target.state is TargetState.ROLLING_BACK and action is Action.ROLL_BACK:
                 self._enter(target, TargetState.ROLLBACK_PENDING, now_ms, "no answer")
             return
         target.last_reply_at_ms = now_ms
         if action is Action.APPLY and target.state is TargetState.APPLYING:
             self._record_apply(target, now_ms, reply)
-        elif action is Action.CHECK_STATUS and target.state is TargetState.IN_CANARY_PERIOD:
-            self._record_status(target, now_ms, reply, digest)
+        elif action is Action.CHECK_STATUS and reply.get("ok") is True:
+            self._record_status(target, now_ms, decode_status(reply, origin))
         elif action is Action.ROLL_BACK and target.state is TargetState.ROLLING_BACK:
             self._record_rollback(target, now_ms, reply)
 
     def _record_apply(self, target: _Target, now_ms: float, reply: dict[str, Any]) -> None:
         code = reply.get("code")
         if reply.get("ok") is True:
-            is_confirmed = (reply.get("change") or {}).get("step") == "confirmed"
-            self._enter(target, TargetState.CONFIRMED if is_confirmed else TargetState.IN_CANARY_PERIOD, now_ms)
+            self._enter(target, TargetState.IN_CANARY_PERIOD, now_ms)
         elif code == UNCHANGED_CODE:
-            self._enter(target, TargetState.CONFIRMED, now_ms, "it has the document already")
+            target.had_document = True
+            self._enter(target, TargetState.CONFIRMED, now_ms, "it had the document already when it was asked")
         elif code == TOO_LATE_CODE:
             self._enter(target, TargetState.UNREACHABLE, now_ms, "it answered too late")
         elif code in REJECTION_CODES:
-            self._enter(target, TargetState.FAILED, now_ms, str(reply.get("text", "refused"))[:MAX_REASON_LENGTH])
+            self._enter(target, TargetState.FAILED, now_ms, reason_of(reply, "text", "refused"))
         else:  # busy: ask again until the target counts as unreachable
-            target.reason = str(reply.get("text", "busy"))[:MAX_REASON_LENGTH]
+            target.reason = reason_of(reply, "text", "busy")
             if now_ms - target.entered_at_ms > self._policy.unreachable_after_ms:
                 self._enter(target, TargetState.UNREACHABLE, now_ms, target.reason)
 
-    def _record_status(self, target: _Target, now_ms: float, reply: dict[str, Any], digest: str) -> None:
-        if reply.get("ok") is not True:
-            return
-        current = reply.get("current") or {}
-        if reply.get("digest") != digest:
-            reason = (reply.get("verdict") or {}).get("reason", "it is not in force any more")
-            self._enter(target, TargetState.FAILED, now_ms, str(reason)[:MAX_REASON_LENGTH])
-        elif reply.get("step") == "confirmed" and current.get("step") != "on_probation":
-            self._enter(target, TargetState.CONFIRMED, now_ms)
+    def _record_status(self, target: _Target, now_ms: float, status: TargetStatus) -> None:
+        if status.has_change is None:
+            target.reason = UNKNOWN_CHANGES
+        elif target.state is TargetState.IN_CANARY_PERIOD:
+            self._record_observation(target, now_ms, status)
+        elif target.state is TargetState.ROLLING_BACK:
+            self._record_verification_of_rollback(target, now_ms, status)
+
+    def _record_observation(self, target: _Target, now_ms: float, status: TargetStatus) -> None:
+        """Record whether a target still has the document, and has confirmed it for good."""
+        if not status.has_change:
+            self._enter(target, TargetState.FAILED, now_ms, status.reason or "it is not in force any more")
+        elif status.is_confirmed and status.survives_restart:
+            self._enter(target, TargetState.CONFIRMED, now_ms, "" if status.keeps_history else NO_HISTORY)
+
+    def _record_verification_of_rollback(self, target: _Target, now_ms: float, status: TargetStatus) -> None:
+        """Record whether a target that was asked to roll back has the document neither now nor after a restart."""
+        if status.has_change:
+            self._enter(target, TargetState.ROLLBACK_PENDING, now_ms, "it still has the document in force")
+        elif status.survives_restart:
+            self._enter(target, TargetState.ROLLED_BACK, now_ms)
+        else:
+            target.reason = "a restart may bring the document back"
 
     def _record_rollback(self, target: _Target, now_ms: float, reply: dict[str, Any]) -> None:
-        """Record the reply to a rollback. It counts as successful even if the document was no longer in force."""
-        if reply.get("ok") is True or reply.get("code") in NOT_IN_FORCE_CODES:
-            self._enter(target, TargetState.ROLLED_BACK, now_ms)
+        """Record the reply to a rollback, which may find that the document is not in force. The status has to agree."""
+        if reply.get("ok") is True or reply.get("code") == NOT_IN_FORCE_CODE:
+            target.next_action_at_ms = now_ms
         else:
-            self._enter(target, TargetState.ROLLBACK_PENDING, now_ms, str(reply.get("text", ""))[:MAX_REASON_LENGTH])
+            self._enter(target, TargetState.ROLLBACK_PENDING, now_ms, reason_of(reply, "text", ""))
--- a/nickelslip/configuration/rollout_command.py
+++ b/nickelslip/configuration/rollout_command.py
@@ -19,7 +19,7 @@
     TARGET_STATE_WORDS,
     run_rollout,
 )
-from nickelslip.configuration.rollout_states import RolloutPolicy, RolloutStatus
+from nickelslip.configuration.rollout_states import RolloutPolicy, RolloutStatus, TargetState
 
 MAX_REPLY_TIMEOUT_MS = 5000.0  # for each reply
 
@@ -84,21 +84,25 @@
 def _print_rollout_result(state_machine: Rollout, as_json: bool) -> None:
     """Print the result of a rollout. If it was not completed, end the program with an error code."""
     status = state_machine.status
-    targets = {
-        name: {"place": TARGET_STATE_WORDS[state], "why": reason}
-        for name, (state, reason) in state_machine.target_states().items()
-    }
+    states = state_machine.target_states()
+    targets = {name: {"place": TARGET_STATE_WORDS[state], "why": reason} for name, (state, reason) in states.items()}
+    unknown = [name for name, (state, _) in states.items() if state is TargetState.UNREACHABLE]
     value = {
-        "ok": status is RolloutStatus.COMPLETED,
+        "ok": status is RolloutStatus.COMPLETED and not unknown,
         "course": ROLLOUT_STATUS_WORDS[status],
         "why": state_machine.reason,
         "nodes": targets,
     }
-    if status is RolloutStatus.COMPLETED:
+    target_lines = [f"{name}: {target['place']} {target['why']}".rstrip() for name, target in targets.items()]
+    if status is RolloutStatus.COMPLETED and not unknown:
         print_result(value, as_json, ["every wave is good"])
         return
-    lines = [f"{ROLLOUT_STATUS_TEXTS[status]}: {state_machine.reason}"]
-    lines += [f"{name}: {target['place']} {target['why']}" for name, target in targets.items()]
+    if status is RolloutStatus.COMPLETED:
+        lines = ["every wave is good, but it is not known what lost nodes have in force", *target_lines]
+        exit_with(ExitCode.UNREACHABLE, value, as_json, lines)
+    lines = [f"{ROLLOUT_STATUS_TEXTS[status]}: {state_machine.reason}", *target_lines]
+    if any(state is TargetState.CONFIRMED for state, _ in states.values()):
+        lines.insert(1, "nodes that had the change before this roll-out keep it")
     exit_with(
         ExitCode.ROLLED_BACK if status is RolloutStatus.ROLLED_BACK else ExitCode.FAILED,
         value,
--- a/nickelslip/configuration/rollout_runner.py
+++ b/nickelslip/configuration/rollout_runner.py
@@ -44,7 +44,7 @@
     RolloutStatus.ROLLING_BACK: "a node undid the change, or too many are lost: all go back",
     RolloutStatus.COMPLETED: "every wave is good",
     RolloutStatus.ROLLED_BACK: "no node has the change any more",
-    RolloutStatus.ROLLBACK_FAILED: "some node could not be told to go back",
+    RolloutStatus.ROLLBACK_FAILED: "some node is not known to have gone back",
 }
 
 Ask = Callable[..., Awaitable[dict[str, Any]]]
@@ -70,7 +70,6 @@
     origin: str
     report: Callable[[str], None]
     ask: Ask
-    _digests: dict[str, str] = field(init=False, default_factory=dict)
     _reported: dict[str, TargetState] = field(init=False, default_factory=dict)
     _slots: anyio.Semaphore = field(init=False, default_factory=lambda: anyio.Semaphore(MAX_CONCURRENT_TARGETS))
     _began_at_s: float = field(init=False, default_factory=time.monotonic)
@@ -96,8 +95,7 @@
                 reply = await self._send(instruction)
             except ServerUnreachableError:
                 reply = None
-        digest = self._digests.get(target, "")
-        self.rollout.record_reply(self._now_ms(), target, instruction.action, reply, digest)
+        self.rollout.record_reply(self._now_ms(), target, instruction.action, reply, self.origin)
 
     async def _send(self, instruction: Instruction) -> dict[str, Any]:
         target = instruction.target
@@ -107,11 +105,9 @@
         if instruction.action is Action.ROLL_BACK:
             return await self.ask(target, "rollback", timeout_ms, **{"from": self.origin})
         expires_at_ms = time.time() * 1000 + timeout_ms
-        reply = await self.ask(
+        return await self.ask(
             target, "apply", timeout_ms, document=self.document, origin=self.origin, until_ms=expires_at_ms
         )
-        self._digests[target] = (reply.get("change") or {}).get("digest", "")
-        return reply
 
     def _report_states(self) -> None:
         """Report each target whose state differs from the one reported last."""
--- a/nickelslip/configuration/rollout_states.py
+++ b/nickelslip/configuration/rollout_states.py
@@ -19,7 +19,7 @@
     ROLLBACK_PENDING = "it is to roll back"
     ROLLING_BACK = "it is asked to roll back"
     ROLLED_BACK = "it has rolled back"
-    ROLLBACK_FAILED = "it could not be asked to roll back"
+    ROLLBACK_FAILED = "it is not known to have rolled back"
 
 
 class RolloutStatus(Enum):
@@ -29,7 +29,7 @@
     ROLLING_BACK = "a target failed or too many are unreachable; all roll back"
     COMPLETED = "every wave is confirmed"
     ROLLED_BACK = "no target has the document any more"
-    ROLLBACK_FAILED = "some target could not be asked to roll back"
+    ROLLBACK_FAILED = "some target is not known to have rolled back"
 
 
 class Action(Enum):
@@ -55,7 +55,7 @@
         TargetState.UNREACHABLE,
         TargetState.ROLLBACK_PENDING,
     ),
-    TargetState.CONFIRMED: (TargetState.ROLLBACK_PENDING,),
+    TargetState.CONFIRMED: (TargetState.IN_CANARY_PERIOD, TargetState.ROLLBACK_PENDING),
     TargetState.FAILED: (),
     TargetState.UNREACHABLE: (TargetState.ROLLBACK_PENDING,),
     TargetState.ROLLBACK_PENDING: (TargetState.ROLLING_BACK,),
@@ -71,6 +71,7 @@
     TargetState.APPLYING: Action.APPLY,
     TargetState.IN_CANARY_PERIOD: Action.CHECK_STATUS,
     TargetState.ROLLBACK_PENDING: Action.ROLL_BACK,
+    TargetState.ROLLING_BACK: Action.CHECK_STATUS,
 }
 UNDECIDED_STATES = (TargetState.APPLYING, TargetState.IN_CANARY_PERIOD)
 STATES_TO_ROLL_BACK = (TargetState.CONFIRMED, TargetState.UNREACHABLE, *UNDECIDED_STATES)
--- a/nickelslip/server/change_applier.py
+++ b/nickelslip/server/change_applier.py
@@ -11,6 +11,7 @@
 from nickelslip.admission.controller import AdmissionController
 from nickelslip.configuration.change_lifecycle import ChangeRejectedError, ConfigurationChange, RejectionReason
 from nickelslip.configuration.change_manager import ChangeManager
+from nickelslip.configuration.change_reference import ChangeReferences
 from nickelslip.configuration.config import Config
 from nickelslip.configuration.document import Document
 from nickelslip.configuration.generations import Generation
@@ -48,7 +49,13 @@
         self.adoption_times_us: list[float] = []
 
     def draft(
-        self, config: Config, document: Document, origin: str, forced: bool, is_return: bool = False
+        self,
+        config: Config,
+        document: Document,
+        origin: str,
+        forced: bool,
+        inherited_changes: ChangeReferences = (),
+        is_return: bool = False,
     ) -> ConfigurationChange:
         """Return a validated change to this document.
 
@@ -59,7 +66,7 @@
             ChangeRejectedError: The change cannot be applied.
         """
         now_ms = self._server.clock()
-        change = self._changes.draft(now_ms, config, document, origin, forced, is_return)
+        change = self._changes.draft(now_ms, config, document, origin, forced, inherited_changes, is_return)
         try:
             AdmissionController(Generation(0, config).settings, 0, 0.0)
         except Exception as error:
--- a/nickelslip/server/configuration_manager.py
+++ b/nickelslip/server/configuration_manager.py
@@ -22,7 +22,8 @@
 from nickelslip.configuration.document import Document
 from nickelslip.configuration.document_conversion import config_from
 from nickelslip.configuration.document_parts import CompleteDocument, complete_document
-from nickelslip.configuration.generations import Generation, digest_of
+from nickelslip.configuration.generation_snapshot import GenerationSnapshot
+from nickelslip.configuration.generations import PEERS_SECTION, Generation, digest_of
 from nickelslip.configuration.history import HistoryRecord
 from nickelslip.configuration.plan import plan_of
 from nickelslip.configuration.request_metrics import RequestMetrics
@@ -145,7 +146,10 @@
 
     def _draft(self, request: commands.DraftRequest) -> tuple[ConfigurationChange, list[Fault]]:
         document, warnings = self._complete(request.document)
-        change = self._applier.draft(config_from(document), document, request.origin, request.is_forced)
+        inherited_changes = () if request.document.is_whole else self.changes.in_force.changes
+        change = self._applier.draft(
+            config_from(document), document, request.origin, request.is_forced, inherited_changes
+        )
         return change, warnings
 
     def _check(self, command: commands.CheckCommand) -> results.CheckResult:
@@ -179,21 +183,25 @@
         is named is applied like any other change. Otherwise the change is undone, and the way back is confirmed from
         the start.
         """
-        expected_origin = command.expected_origin
-        if expected_origin is not None and expected_origin != self.changes.in_force.generation.origin:
-            detail = "what is in force came from elsewhere than what is to be undone"
-            raise ChangeRejectedError(RejectionReason.SUPERSEDED, detail)
+        earlier: GenerationSnapshot | None = None
+        if command.expected_origin is not None:
+            earlier = self.changes.snapshot_before(str(command.expected_origin))
         current = self.changes.current
         if current is not None and command.generation is None and not self.changes.is_returning:
             await self._applier.roll_back("undone by an operator")
             return results.ChangeResult(current)
-        earlier = self.changes.earlier_snapshot(command.generation)
+        if earlier is None or command.generation is not None:
+            earlier = self.changes.earlier_snapshot(command.generation)
+        return await self._go_back_to(earlier, is_return=command.generation is None)
+
+    async def _go_back_to(self, earlier: GenerationSnapshot, is_return: bool) -> results.ChangeResult:
+        """Apply the document of an earlier generation, with the peer addresses in force."""
         if self.changes.is_returning:
             await self._applier.confirm(self._server.clock(), "another way back follows")
-        document = {**earlier.document, "peers": self.changes.in_force.document["peers"]}
+        document = {**earlier.document, PEERS_SECTION: self.changes.in_force.document[PEERS_SECTION]}
         origin = f"back to generation {earlier.generation.number}"
-        is_return = command.generation is None
-        change = self._applier.draft(config_from(document), document, origin, True, is_return)
+        config = config_from(document)
+        change = self._applier.draft(config, document, origin, True, earlier.changes, is_return)
         await self._applier.stage_and_apply(change)
         return results.ChangeResult(change)
 
@@ -207,5 +215,6 @@
             verdict=self.observation.verdict,
             adoption_times_us=self._applier.adoption_times_us[-MAX_ADOPTION_TIMES_IN_REPLY:],
             unwritten_record_count=len(self.history.unwritten),
+            has_history=self.history.store is not None,
             changes=self.changes.status(server.clock()),
         )
--- a/nickelslip/server/control_results.py
+++ b/nickelslip/server/control_results.py
@@ -59,6 +59,7 @@
         verdict: Latest verdict on the change in its canary period.
         adoption_times_us: How long the server was paused to adopt each of the latest generations.
         unwritten_record_count: Number of records that could not be written to the history yet.
+        has_history: Whether the history outlives the server.
         changes: The generation in force, and the changes in progress and staged.
     """
 
@@ -69,6 +70,7 @@
     verdict: CanaryVerdict | None
     adoption_times_us: list[float]
     unwritten_record_count: int
+    has_history: bool
     changes: ChangeStatus
 
 
@@ -115,6 +117,7 @@
         "base": change.base_generation.number,
         "reason": change.reason,
         "generation": change.generation.number if change.generation else None,
+        "applied_ms": change.generation.created_at_ms if change.generation else None,
         "plan": change.plan.as_dict(),
         "forced": change.forced,
     }
@@ -139,6 +142,7 @@
         "verdict": _encode_verdict(status.verdict),
         "apply_us": status.adoption_times_us,
         "history_behind": status.unwritten_record_count,
+        "history_kept": status.has_history,
         **_encode_change_status(status.changes),
     }
 
@@ -155,6 +159,7 @@
     return {
         "generation": generation.number,
         "digest": status.in_force.digest,
+        "changes": [change.as_dict() for change in status.in_force.changes],
         "origin": generation.origin,
         "since_ms": generation.created_at_ms,
         "confirmed": status.confirmed_generation,
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -491,6 +491,9 @@
 # Rollouts
 
 
+ORIGIN = "roll-out 1"
+
+
 def run_rollout(reply_to, target_count=10, max_unreachable=0):
     """Run a rollout over targets that reply with `reply_to(target, action, now_ms)`.
 
@@ -504,15 +507,20 @@
         [],
         [],
     )
+    rolled_back = set()
     while not rollout.is_finished and now_ms < 300_000:
         for instruction in rollout.advance(now_ms):
             if instruction.action is Action.APPLY:
                 applied_to.append(instruction.target)
             reply = reply_to(instruction.target, instruction.action, now_ms)
+            if instruction.action is Action.ROLL_BACK and reply is not None:
+                rolled_back.add(instruction.target)
+            if instruction.action is Action.CHECK_STATUS and instruction.target in rolled_back:
+                reply = {**reply, "changes": []}
             pending.append((now_ms + (5000.0 if reply is None else 20.0), instruction, reply))
         now_ms += 50.0
         for _due_at_ms, instruction, reply in [item for item in pending if item[0] <= now_ms]:
-            rollout.record_reply(now_ms, instruction.target, instruction.action, reply, "d1")
+            rollout.record_reply(now_ms, instruction.target, instruction.action, reply, ORIGIN)
         pending = [item for item in pending if item[0] > now_ms]
     return rollout, applied_to, now_ms
 
@@ -520,7 +528,7 @@
 def healthy_reply(target, action, now_ms):
     if action is Action.APPLY:
         return {"ok": True, "change": {"step": "on_probation"}}
-    return {"ok": True, "digest": "d1", "step": "confirmed", "current": None}
+    return {"ok": True, "changes": [{"origin": ORIGIN}], "step": "confirmed", "current": None}
 
 
 def test_every_rollout_state_has_the_word_and_text_that_the_command_prints():
@@ -540,7 +548,7 @@
 def test_the_first_target_that_rolls_back_stops_the_rollout_and_all_roll_back():
     def reply_to(target, action, now_ms):
         if target == "n3" and action is Action.CHECK_STATUS:
-            return {"ok": True, "digest": "d0", "step": "confirmed", "verdict": {"reason": "grade payout"}}
+            return {"ok": True, "changes": [], "step": "confirmed", "verdict": {"reason": "grade payout"}}
         return healthy_reply(target, action, now_ms)
 
     rollout, applied_to, _ = run_rollout(reply_to)
--- a/tests/test_configuration_manager.py
+++ b/tests/test_configuration_manager.py
@@ -506,7 +506,7 @@
 
 async def test_a_rollout_rolls_back_only_changes_of_its_own_origin():
     """Runs a rollout over simulated targets. In its second wave, one rolls back and another never replies."""
-    origins, commands = {}, []
+    origins, commands, rolled_back = {}, [], set()
 
     async def ask(target, do, wait_ms, **fields):
         commands.append((target, do))
@@ -519,11 +519,12 @@
             return {"ok": True, "change": {"step": "on_probation", "digest": f"d-{target}"}}
         if do == "rollback":
             is_own = origins.get(target) == fields["from"]
+            rolled_back.update([target] if is_own else [])
             return {"ok": is_own, "code": "overtaken"}
-        is_rolled_back = target == "n1" and commands.count((target, "status")) > 1
+        is_rolled_back = target in rolled_back or (target == "n1" and commands.count((target, "status")) > 1)
         return {
             "ok": True,
-            "digest": "d0" if is_rolled_back else f"d-{target}",
+            "changes": [] if is_rolled_back else [{"origin": origins[target]}],
             "current": None,
             "step": "on_probation" if target == "n1" and not is_rolled_back else "confirmed",
             "verdict": {"reason": "grade payout"},
