Requests that are unread when their client leaves are not run

Cause: the end of a connection was only noticed behind the bytes before it.

Change: at each read the state of the TCP connection is asked for. Requests of a client that has closed or reset its connection are neither run nor answered, and nothing more is read from it. A health check in what was read is still answered. The rig's search for a client's connection passes over one that was reset.

--- a/nickelslip/server/load_balancer_connection.py
+++ b/nickelslip/server/load_balancer_connection.py
@@ -133,7 +133,10 @@
         while True:
             await self.stream.wait_until_backlog_shrinks()
             await self._receive()
+            self.requests.has_client_left = self.stream.has_peer_closed
             self._handle_received()
+            if self.requests.has_client_left:
+                raise ConnectionClosedError(CloseReason.CLOSED)
             if self.requests.consecutive_refusal_count > MAX_CONSECUTIVE_REFUSALS:
                 raise ConnectionClosedError(CloseReason.MALFORMED, "too many invalid requests in a row")
 
--- a/nickelslip/server/streams.py
+++ b/nickelslip/server/streams.py
@@ -18,6 +18,7 @@
 from nickelslip.server.send_backlog import SendBacklog
 
 LINGER_TIMEOUT_S = 0.5
+TCP_CLOSED_STATES = (7, 8)  # TCP_CLOSE and TCP_CLOSE_WAIT in the first byte of TCP_INFO
 LINGER_READ_PAUSE_S = 0.005
 NO_BUFFER_DETAIL = "the buffer pool is exhausted"
 DISCARD_BUFFER = bytearray(4 * BUFFER_BYTES)  # receives bytes that are read only to be discarded
@@ -165,6 +166,16 @@
         """Why nothing more is read; None while messages are read."""
         return self._read_end_reason or self.shut_down_reason or self.close_reason
 
+    @property
+    def has_peer_closed(self) -> bool:
+        """Whether the peer has closed or reset the connection, even if bytes that it sent before are still unread."""
+        if self.close_reason is not None or not hasattr(socket, "TCP_INFO"):
+            return False
+        try:
+            return self._sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] in TCP_CLOSED_STATES
+        except OSError:  # not a TCP socket
+            return False
+
     def _raise_if_ended(self) -> None:
         if self._end_reason is not None:
             raise ConnectionClosedError(self._end_reason)
--- a/nickelslip/server/tagged_requests.py
+++ b/nickelslip/server/tagged_requests.py
@@ -41,6 +41,7 @@
         on_answered: Called after an answer to a request is written.
 
     Attributes:
+        has_client_left: Whether the client has closed its connection. Requests that are read later are not accepted.
         consecutive_refusal_count: Number of requests refused since the last accepted one.
     """
 
@@ -59,6 +60,7 @@
         self._on_answered = on_answered
         self._requests: dict[int, Request] = {}
         self._drained = anyio.Event()  # set when the last open request is answered or cancelled
+        self.has_client_left = False
         self.consecutive_refusal_count = 0
 
     def __len__(self) -> int:
@@ -117,7 +119,12 @@
         self._stream.write(encode_health(tag, self._server.is_healthy, self._server.advertised_weight))
 
     def _handle_request(self, tag: int, parts: list[bytes]) -> None:
-        """Accept or refuse a request; it is also refused if an unexpected error is raised."""
+        """Accept or refuse a request; it is also refused if an unexpected error is raised.
+
+        A request of a client that has left is neither run nor answered.
+        """
+        if self.has_client_left:
+            return
         is_accepted = False
         try:
             is_accepted = self._open(tag, parts)
--- a/tests/support/server_rig.py
+++ b/tests/support/server_rig.py
@@ -189,14 +189,13 @@
     def connection_of(self, client: RawClient) -> LoadBalancerConnection | None:
         """Return the server's end of this client's connection, or None if it is closed."""
         listener: Any = self.server.listeners[0]
-        return next(
-            (
-                connection
-                for connection in listener.table.connections
-                if not connection.stream.close_reason and connection.stream._sock.getpeername() == client.local_address
-            ),
-            None,
-        )
+        for connection in listener.table.connections:
+            with suppress(OSError):  # reset by its client
+                if not connection.stream.close_reason:
+                    peer_address = connection.stream._sock.getpeername()
+                    if peer_address == client.local_address:
+                        return connection
+        return None
 
     async def start_run(
         self, client: LoadBalancerClient, request_id: str, class_name: str = "read", **fields: Any
