A request that must not run twice is not started again under its id

Cause: an id was refused only while its request was open. Once the run of the client that had left was over, also one that was broken off, the id was free, and the worker pool got a second spawn for it.

Change: the id of a request that may have run and is not idempotent is kept for the longest timeout after its end, and a request with it is answered with a failure. A run that the worker pool did not start (late, unknown) keeps nothing. The log has request_id_repeated, in samples.

--- a/nickelslip/server/open_requests.py
+++ b/nickelslip/server/open_requests.py
@@ -6,6 +6,7 @@
 
 from nickelslip.admission.interface import FINAL_STATES, Outcome
 from nickelslip.server.log_sampling import is_power_of_two
+from nickelslip.server.recent_runs import RecentRuns
 from nickelslip.server.request_lifecycle import run_request_lifecycle
 from nickelslip.server.requests import Request
 
@@ -50,16 +51,22 @@
         self._counter = counter
         self._lifecycle = lifecycle
         self._requests = requests
+        self._recent_runs = RecentRuns(context.clock)
         self._key_conflict_count = 0
+        self._repeated_id_count = 0
 
     def accept(self, request: Request) -> bool:
         """Report the arrival of a request, and run its lifecycle in a task unless it has ended already.
 
         Returns False if its connection has to answer it with a failure: there is no admission controller, its number
-        is in use, its configuration is no longer in force, or its idempotency key belongs to another request.
+        is in use or was that of a request that may have run and must not run twice, its configuration is no longer in
+        force, or its idempotency key belongs to another request.
         """
         if request.number in self._requests or self._executor.controller is None:
             return False
+        if request.must_not_run_twice and request.number in self._recent_runs:
+            self._log_repeated_id()
+            return False
         if request.generation is not self._context.generation:
             return False
         if self._idempotency_table.has_key_conflict(request):
@@ -83,9 +90,17 @@
     def _close(self, request: Request) -> None:
         """Remove a request that has ended; requests coalesced with it fail if it has no result."""
         self._idempotency_table.finish(request, Outcome.CANCELLED)
+        if request.may_have_run and request.must_not_run_twice:
+            self._recent_runs.record(request.number, request.generation.longest_timeout_ms)
         del self._requests[request.number]
         self._lifecycle.notify_change()
 
+    def _log_repeated_id(self) -> None:
+        """Log the 1st, 2nd, 4th, 8th ... request whose id belongs to one that may have run."""
+        self._repeated_id_count += 1
+        if is_power_of_two(self._repeated_id_count):
+            self._context.log.warning("request_id_repeated", count=self._repeated_id_count)
+
     def _log_key_conflict(self) -> None:
         """Log the 1st, 2nd, 4th, 8th ... conflict of idempotency keys."""
         self._key_conflict_count += 1
--- a/nickelslip/server/request_lifecycle.py
+++ b/nickelslip/server/request_lifecycle.py
@@ -103,6 +103,8 @@
         actions.dependency_client.abandon_call(request)
     took_ms = _possible_run_ms(actions, request, event)
     request.has_unfinished_run = False
+    if event.outcome.proves_not_executed:
+        request.may_have_run = False
     if event.outcome is Outcome.CANCELLED and request.state in (RequestState.RUNNING, RequestState.DEGRADED):
         request.enter(RequestState.QUEUED)
         sink.run_ended(request, event.outcome, took_ms)
--- a/nickelslip/server/requests.py
+++ b/nickelslip/server/requests.py
@@ -14,7 +14,7 @@
 
 import anyio
 
-from nickelslip.admission.interface import FINAL_STATES, Arrival, RequestState
+from nickelslip.admission.interface import FINAL_STATES, Arrival, RequestState, RetrySafety
 from nickelslip.configuration.generations import Generation
 from nickelslip.server.request_events import CallRequested, ClientDisconnected, RequestEvent, RunFinished
 
@@ -108,6 +108,7 @@
         is_answered: Whether an answer has been written.
         is_client_disconnected: Whether the client cancelled the request or closed its connection.
         has_unfinished_run: Whether the worker pool has an unfinished run of it.
+        may_have_run: Whether the start of a run was requested, and the worker pool has not said that none was started.
         run_started_at_ms: When its run was last started.
         has_notification_since_last_command: Whether a notification of that run has arrived since it was last started
             or resumed.
@@ -131,6 +132,7 @@
         self.is_answered = False
         self.is_client_disconnected = False
         self.has_unfinished_run = False
+        self.may_have_run = False
         self.run_started_at_ms = 0.0
         self.has_notification_since_last_command = False
         self.call_transports: list[object] = []
@@ -145,6 +147,12 @@
         self._mailbox: deque[RequestEvent] = deque()
         self._mailbox_changed: anyio.Event | None = None
 
+    @property
+    def must_not_run_twice(self) -> bool:
+        """Whether a second run of the request could have an effect."""
+        retry_safety = self.generation.retry_safety_by_class[self.received.traffic_class]
+        return retry_safety is not RetrySafety.IDEMPOTENT
+
     def enter(self, state: RequestState) -> None:
         """Change the state, unless the current state is final.
 
--- a/nickelslip/server/state_changes.py
+++ b/nickelslip/server/state_changes.py
@@ -34,6 +34,7 @@
 
 def _start_run(actions: RequestActions, request: Request) -> None:
     request.has_unfinished_run = True
+    request.may_have_run = True
     request.run_started_at_ms = actions.clock()
     request.has_notification_since_last_command = False
     request.enter(RequestState.RUNNING)
