--- a/nickelslip/configuration/generations.py
+++ b/nickelslip/configuration/generations.py
@@ -19,6 +19,8 @@
 
 CACHED_RESPONSES_MEMORY_FRACTION = 1 / 4  # of this process's memory, for responses kept for retries
 CACHED_RESPONSE_KB = 6.0  # size of an idempotency record in this process with a response of maximum size
+CONNECTIONS_MEMORY_FRACTION = 1 / 4  # of this process's memory, for connections from load balancers
+CONNECTION_KB = 24.0  # size of such a connection in this process, without its buffers
 KB_PER_MB = 1024
 PEERS_SECTION = "peers"
 
@@ -75,6 +77,12 @@
         reserved = CONTROL_DESCRIPTORS if self.config.changes.accepts_changes else 0
         return descriptor_shares(self.config.descriptors - reserved, self.config.settings.dependency_concurrency_share)
 
+    @property
+    def max_load_balancer_connections(self) -> int:
+        """How many connections from load balancers fit into the descriptors and the memory of this process."""
+        memory_kb = self.config.memory_mb * KB_PER_MB * CONNECTIONS_MEMORY_FRACTION
+        return max(1, min(self.descriptor_shares.load_balancers, int(memory_kb / CONNECTION_KB)))
+
     @cached_property
     def latency_objectives_ms(self) -> Mapping[str, float]:
         """The latency objective of each traffic class, keyed by its name."""
--- a/nickelslip/server/connection_table.py
+++ b/nickelslip/server/connection_table.py
@@ -64,14 +64,15 @@
     @property
     def has_free_descriptor(self) -> bool:
         """Whether one more connection may be accepted, even if only to be closed."""
-        shares = self._context.generation.descriptor_shares
-        return len(self.connections) < shares.load_balancers + shares.lingering
+        generation = self._context.generation
+        max_count = generation.max_load_balancer_connections + generation.descriptor_shares.lingering
+        return len(self.connections) < max_count
 
     @property
     def is_below_limit(self) -> bool:
         """Whether one more connection can be served; lingering connections do not count."""
         served_count = len(self.connections) - len(self.lingering)
-        return served_count < self._context.generation.descriptor_shares.load_balancers
+        return served_count < self._context.generation.max_load_balancer_connections
 
     def make_room(self) -> bool:
         """Begin to close one connection so that another can be served; return whether there was one.
@@ -161,7 +162,7 @@
         The sender may be slow without being malicious. Such messages may hold only a fraction of the connections and
         buffers, so that senders that never finish a message cannot exhaust them.
         """
-        max_connections = self._context.generation.descriptor_shares.load_balancers
+        max_connections = self._context.generation.max_load_balancer_connections
         max_slow_writers = min(max_connections, self._context.buffers.max_count) // SLOW_WRITER_DIVISOR
         if connection in self.slow_writers or len(self.slow_writers) >= max(1, max_slow_writers):
             return False
--- a/nickelslip/server/load_balancer_listener.py
+++ b/nickelslip/server/load_balancer_listener.py
@@ -4,6 +4,7 @@
 
 import errno
 import socket
+import time
 from typing import TYPE_CHECKING
 
 import anyio
@@ -19,6 +20,8 @@
 
 MAX_ACCEPTS = 32  # per wake-up
 ACCEPT_PAUSE_S = 0.05  # before the next accept while no connection can be accepted
+DISPLACEMENT_INTERVAL_S = 1 / 160  # mean time between accepts while the table is full
+MAX_DISPLACEMENT_BURST_S = 0.2  # accepts of this time may follow each other at once
 SHUTDOWN_POLL_INTERVAL_S = 0.05
 OUT_OF_RESOURCES = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 NEW_CONNECTION_ERRORS = (  # raised by accept() for an error of the new connection, not of the listener
@@ -52,6 +55,7 @@
         self._listener = listener
         self._log = ConnectionLog(server)
         self.table = ConnectionTable(server)
+        self._next_displacement_at_s = 0.0
 
     async def serve(self) -> None:
         """Accept connections until the listener is closed."""
@@ -63,12 +67,16 @@
             if self._accept():
                 await anyio.sleep(ACCEPT_PAUSE_S)
 
-    def _accept(self, max_count: int = MAX_ACCEPTS) -> bool:
+    def _accept(self, max_count: int = MAX_ACCEPTS, is_shutting_down: bool = False) -> bool:
         """Accept waiting connections; return whether to pause because no connection can be accepted at present.
 
-        At most `max_count` are accepted at once, so that they are read before later connections displace them.
+        At most `max_count` are accepted at once, so that they are read before later connections displace them. While
+        the table is full, the rate of accepts is limited, since clients whose connections are displaced may reconnect
+        at once; further connections wait in the listen queue.
         """
         for _ in range(max_count):
+            if not (is_shutting_down or self._may_accept()):
+                return True
             if not self.table.has_free_descriptor and not self.table.abort_lingering():
                 return True
             try:
@@ -82,6 +90,17 @@
             self._admit(sock)
         return False
 
+    def _may_accept(self) -> bool:
+        """Whether the table has room, or another connection may be displaced now."""
+        if self.table.is_below_limit:
+            return True
+        now_s = time.monotonic()
+        if now_s < self._next_displacement_at_s:
+            return False
+        self._next_displacement_at_s = max(self._next_displacement_at_s, now_s - MAX_DISPLACEMENT_BURST_S)
+        self._next_displacement_at_s += DISPLACEMENT_INTERVAL_S
+        return True
+
     def _recover(self, error: OSError) -> bool:
         """Return whether an accept that failed with this error may be retried immediately."""
         if error.errno in OUT_OF_RESOURCES:
@@ -118,7 +137,7 @@
         if self._listener.fileno() < 0:
             return
         drop_new_connections(self._listener)
-        self._accept(LISTEN_BACKLOG)
+        self._accept(LISTEN_BACKLOG, is_shutting_down=True)
         anyio.notify_closing(self._listener)
         self._listener.close()
 
--- a/nickelslip/server/streams.py
+++ b/nickelslip/server/streams.py
@@ -73,7 +73,7 @@
         self.start = 0
         self.end = 0
         self._backlog = SendBacklog(self._acquire_buffer, buffers.release)
-        self._backlog_shrunk = anyio.Event()
+        self._backlog_shrunk: anyio.Event | None = None  # while a task waits for it
         self.shut_down_reason: CloseReason | None = None
         self.close_reason: CloseReason | None = None
 
@@ -320,6 +320,10 @@
         except (BlockingIOError, InterruptedError):
             return
         if self._backlog.mark_sent(sent_bytes):  # a buffer was released
+            self._notify_backlog_shrunk()
+
+    def _notify_backlog_shrunk(self) -> None:
+        if self._backlog_shrunk is not None:
             self._backlog_shrunk.set()
 
     def stop_reading(self, reason: CloseReason) -> None:
@@ -359,5 +363,5 @@
         anyio.notify_closing(self._sock)
         self._sock.close()
         self._backlog.clear()
-        self._backlog_shrunk.set()
+        self._notify_backlog_shrunk()
         self._release_buffer()
--- a/tests/test_buffer_shortage.py
+++ b/tests/test_buffer_shortage.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from nickelslip.server import load_balancer_connection, resp
+from nickelslip.configuration.generations import Generation
+from nickelslip.server import load_balancer_connection, load_balancer_listener, resp
 from nickelslip.server.buffer_pool import BUFFER_BYTES, SMALL_BUFFER_STEP_BYTES, BufferPool
 from nickelslip.server.close_reasons import CloseReason
 from tests.support.load_balancer_client import LoadBalancerClient, RawClient, encode_request
@@ -150,3 +151,35 @@
     pool.release(whole.pop())
     assert len(pool.store(memoryview(bytes(BUFFER_BYTES - 1)))) == BUFFER_BYTES
     assert [pool.acquire(may_use_reserve=True) is None for _ in range(5)] == [False] * 4 + [True]
+
+
+# Hundreds of clients
+
+
+@pytest.mark.parametrize(("memory_mb", "expected"), ((48, 512), (64, 682), (192, 958)))
+def test_the_memory_of_the_process_limits_the_connections(memory_mb, expected):
+    """Guards against a process that passes its memory limit because hundreds of clients are connected."""
+    rig = ServerRig(**{"dep-share": 4.5})
+    rig.config["limits"] = {"cores": 1.0, "memory_mb": memory_mb, "sockets": 1024}
+    for name in ("pool", "records", "lookup"):
+        rig.config[name] = "127.0.0.1:1"
+    assert Generation(1, rig.read()).max_load_balancer_connections == expected
+
+
+async def test_clients_that_reconnect_at_once_are_accepted_at_a_limited_rate_while_the_table_is_full(monkeypatch):
+    """Guards against clients that displace each other and keep the server busy with accepting them."""
+    monkeypatch.setattr(load_balancer_listener, "DISPLACEMENT_INTERVAL_S", 0.1)
+    monkeypatch.setattr(load_balancer_listener, "MAX_DISPLACEMENT_BURST_S", 0.0)
+    async with ServerRig(cpus=32) as rig:
+        await rig.wait_until_serving()
+        rig.set_descriptor_shares(load_balancers=4, lingering=16)
+        accepted, add = [], rig.server.listeners[0].table.add
+        monkeypatch.setattr(
+            rig.server.listeners[0].table, "add", lambda connection: (accepted.append(connection), add(connection))
+        )
+        peers = [RawClient(rig.port) for _ in range(10)]
+        await wait_until(lambda: len(accepted) >= 4)
+        assert len(accepted) <= 6
+        await wait_until(lambda: len(accepted) == 10)
+        for peer in peers:
+            peer.sock.close()
