--- a/benchmarks/capacity/rollout.py
+++ b/benchmarks/capacity/rollout.py
@@ -18,7 +18,7 @@
 
 ADVANCE_INTERVAL_MS = 50.0  # between the times at which the command advances the roll-out
 MAX_ROLLOUT_MS = 600_000.0
-DIGEST = "0" * 32
+ORIGIN = "roll-out"
 
 
 @dataclass(frozen=True)
@@ -56,7 +56,7 @@
             if action is Action.APPLY:
                 in_force_at_ms.setdefault(target, now_ms)
             step = "confirmed" if now_ms >= in_force_at_ms.get(target, now_ms) + canary_period_ms else "on_probation"
-            rollout.record_reply(now_ms, target, action, _reply(step), DIGEST)
+            rollout.record_reply(now_ms, target, action, _reply(step), ORIGIN)
         now_ms = until_ms
     status_word = ROLLOUT_STATUS_WORDS[rollout.status if rollout.is_finished else RolloutStatus.IN_PROGRESS]
     return SimulatedRollout(
@@ -65,4 +65,4 @@
 
 
 def _reply(step: str) -> dict[str, object]:
-    return {"ok": True, "change": {"step": step}, "step": step, "digest": DIGEST, "current": None}
+    return {"ok": True, "change": {"step": step}, "step": step, "changes": [{"origin": ORIGIN}], "current": None}
