--- a/nickelslip/admission/controller.py
+++ b/nickelslip/admission/controller.py
@@ -142,7 +142,9 @@
         request = TrackedRequest(arrival, statistics, now_ms)
         self._requests.add(request)
         self._deadlines.track(request)
-        self._interval.record_request(arrival.read_delay_ms, statistics.latency_objective_ms)
+        self._interval.record_request()
+        if not arrival.may_be_delayed_by_client:
+            self._interval.record_read_delay(arrival.read_delay_ms, statistics.latency_objective_ms)
         self._priority.record_arrival(now_ms, arrival)
         statistics.record_arrival(now_ms, arrival.is_retry)
         has_to_queue = self._arrivals.has_to_queue()
--- a/nickelslip/admission/interface.py
+++ b/nickelslip/admission/interface.py
@@ -150,6 +150,7 @@
     read_delay_ms: float = 0.0  # time from its arrival on this machine until it was read
     original_request_id: int | None = None  # the recorded request that this one repeats
     has_key: bool = False  # it carries a key that identifies repeated or equal requests
+    may_be_delayed_by_client: bool = False  # its read delay tells nothing about the load of this server
 
 
 class Gauges(NamedTuple):
--- a/nickelslip/admission/interval_measurements.py
+++ b/nickelslip/admission/interval_measurements.py
@@ -42,10 +42,13 @@
         """Whether the read delay in this interval is high enough to require more CPU time for reading."""
         return self.max_read_delay_fraction > LOW_READ_DELAY_FRACTION
 
-    def record_request(self, read_delay_ms: float, latency_objective_ms: float) -> None:
-        """Count a request that was read, and record its read delay."""
-        self.max_read_delay_fraction = max(self.max_read_delay_fraction, read_delay_ms / latency_objective_ms)
+    def record_request(self) -> None:
+        """Count a request that was read."""
         self.request_count += 1
+
+    def record_read_delay(self, read_delay_ms: float, latency_objective_ms: float) -> None:
+        """Record how late a request was read."""
+        self.max_read_delay_fraction = max(self.max_read_delay_fraction, read_delay_ms / latency_objective_ms)
         self.last_read_delay_ms = read_delay_ms
 
     def record_gauges(self, cpu_utilization: float, connection_count: float) -> None:
--- a/nickelslip/admission/rejections.py
+++ b/nickelslip/admission/rejections.py
@@ -43,7 +43,8 @@
 
     def reject(self, now_ms: float, request: TrackedRequest, retry_elsewhere_useless: bool = False) -> None:
         """Reject a request, with a Retry-After delay."""
-        self._interval.rejection_count += 1
+        if not request.may_be_delayed_by_client:
+            self._interval.rejection_count += 1
         delay_ms = self._retry_after.delay_ms(
             now_ms,
             self._interval.last_read_delay_ms,
--- a/nickelslip/admission/tracked_request.py
+++ b/nickelslip/admission/tracked_request.py
@@ -30,6 +30,7 @@
         "memory_kb",
         "cost_hint_ms",
         "tenant",
+        "may_be_delayed_by_client",
         "deadline_at_ms",
         "expected_run_ms",
         "useful_until_ms",
@@ -57,6 +58,7 @@
         self.memory_kb = arrival.memory_kb
         self.cost_hint_ms = arrival.cost_hint_ms
         self.tenant = arrival.tenant or ""
+        self.may_be_delayed_by_client = arrival.may_be_delayed_by_client
         self.deadline_at_ms = max(now_ms, deadline_at_ms)
         self.expected_run_ms = statistics.expected_run_ms(now_ms, arrival.cost_hint_ms)
         self.useful_until_ms = min(
--- a/nickelslip/server/connection_table.py
+++ b/nickelslip/server/connection_table.py
@@ -11,6 +11,7 @@
 
 from nickelslip.server.close_reasons import CloseReason
 from nickelslip.server.load_balancer_connection import CLOSE_CROSSING_MS, LoadBalancerConnection
+from nickelslip.server.processing_limit import ProcessingLimit
 
 if TYPE_CHECKING:  # avoids imports at startup
     from nickelslip.server.interfaces import ServerContext
@@ -29,6 +30,7 @@
         connections: All connections, including lingering ones.
         lingering: Connections in a lingering close, in the order in which the closes began.
         slow_writers: Connections whose current message may take as long as the longest client timeout.
+        processing_limit: Limits the processor time for messages of connections on which no request was completed.
     """
 
     def __init__(self, context: ServerContext) -> None:
@@ -37,6 +39,7 @@
         self._silent: dict[LoadBalancerConnection, None] = {}  # no valid message so far; oldest first
         self.lingering: dict[LoadBalancerConnection, None] = {}
         self.slow_writers: set[LoadBalancerConnection] = set()
+        self.processing_limit = ProcessingLimit()
         self._incomplete: dict[LoadBalancerConnection, None] = {}  # in the order in which their messages began
 
     def add(self, connection: LoadBalancerConnection) -> None:
--- a/nickelslip/server/load_balancer_connection.py
+++ b/nickelslip/server/load_balancer_connection.py
@@ -10,12 +10,12 @@
 from __future__ import annotations
 
 import socket
+import time
 from math import inf
 from typing import TYPE_CHECKING, Protocol
 
 import anyio
 
-from nickelslip.admission.interface import RequestState
 from nickelslip.server import resp
 from nickelslip.server.answer_encoder import encode_close_request
 from nickelslip.server.close_reasons import CloseReason, ConnectionClosedError
@@ -25,7 +25,7 @@
 if TYPE_CHECKING:  # avoids imports at startup
     from nickelslip.server.connection_log import ConnectionLog
     from nickelslip.server.interfaces import RequestHandler
-    from nickelslip.server.requests import Answer
+    from nickelslip.server.processing_limit import ProcessingLimit
 
 MAX_BACKLOG_BYTES = 64 * 1024  # reading pauses while more answers than this are unsent
 FIRST_BYTE_TIMEOUT_MS = 2000.0  # from the start of the connection to the first byte of its first message
@@ -33,12 +33,24 @@
 MAX_CONSECUTIVE_REFUSALS = 64
 SEND_POLL_INTERVAL_S = 0.05
 SHED_DELAY_S = 1.0
+MAX_TURN_S = 0.002  # before a request of the connection was completed
+MIN_PAUSE_S = 0.001
+MAX_PAUSE_S = 1.0
+MAX_WITHDRAWN_RUNS = 4  # runs of withdrawn requests of one connection, before a request of it was completed
+WITHDRAWN_RUNS_TIMEOUT_S = 1.0
+RUNS_POLL_INTERVAL_S = 0.005
 CLOSE_CROSSING_MS = 50.0  # by the protocol, load balancers resend requests sent within this time before a close
 PEER_GONE_REASONS = (CloseReason.CLOSED, CloseReason.RESET)  # the peer can no longer read an answer
 
 
 class ConnectionRegistry(Protocol):
-    """Keeps track of the states of all connections that count towards its limits."""
+    """Keeps track of the states of all connections that count towards its limits.
+
+    Attributes:
+        processing_limit: Limits the processor time for messages of connections on which no request was completed.
+    """
+
+    processing_limit: ProcessingLimit
 
     def note_valid_message(self, connection: LoadBalancerConnection) -> None:
         """Record that a valid message was received."""
@@ -76,7 +88,6 @@
         requests: The open requests of this connection.
         last_used_at_ms: When the connection was accepted, or last carried a complete message or an answer.
         has_sent_valid_message: Whether the load balancer has sent a valid request or health check.
-        has_completed_request: Whether a request of this connection was answered with its result.
         is_close_requested: Whether the load balancer was asked to close the connection.
         close_began_at_ms: When this side began a lingering close, or None.
     """
@@ -96,11 +107,10 @@
             free_memory=self._free_memory,
             reads_into_scratch=True,
         )
-        self.requests = TaggedRequests(server, self.stream, log, self._note_valid_message, self._note_answer)
+        self.requests = TaggedRequests(server, self.stream, log, self._note_valid_message, self._note_used)
         self.last_used_at_ms = server.clock()
         self._message_began_at_ms: float | None = None  # of an incomplete message
         self.has_sent_valid_message = False
-        self.has_completed_request = False
         self.is_close_requested = False
         self.close_began_at_ms: float | None = None
 
@@ -133,10 +143,8 @@
         while True:
             await self.stream.wait_until_backlog_shrinks()
             await self._receive()
-            self.requests.has_client_left = self.stream.has_peer_closed
-            self._handle_received()
-            if self.requests.has_client_left:
-                raise ConnectionClosedError(CloseReason.CLOSED)
+            while not await self._take_turn():
+                pass
             if self.requests.consecutive_refusal_count > MAX_CONSECUTIVE_REFUSALS:
                 raise ConnectionClosedError(CloseReason.MALFORMED, "too many invalid requests in a row")
 
@@ -151,6 +159,38 @@
             if closed.reason is not CloseReason.STALLED or not self._registry.admit_slow_writer(self):
                 raise
 
+    async def _take_turn(self) -> bool:
+        """Handle messages, and return whether no complete one is left.
+
+        While no request was completed on the connection, a turn is short and a pause follows it, so that messages of
+        others are handled in between.
+
+        Raises:
+            ConnectionClosedError: The client has closed its connection. What it sent before is not read further.
+        """
+        self.requests.has_client_left = self.stream.has_peer_closed
+        if self.requests.has_client_left:
+            self._handle_received(inf)
+            raise ConnectionClosedError(CloseReason.CLOSED)
+        if self.has_completed_request:
+            return self._handle_received(inf)
+        began_at_s = time.monotonic()
+        is_done = self._handle_received(began_at_s + MAX_TURN_S)
+        now_s = time.monotonic()
+        pause_s = self._registry.processing_limit.pause_after(now_s, now_s - began_at_s)
+        if not is_done or pause_s >= MIN_PAUSE_S:
+            self.requests.was_paused = True
+            await anyio.sleep(min(pause_s, MAX_PAUSE_S))
+        await self._wait_for_withdrawn_runs()
+        return is_done
+
+    async def _wait_for_withdrawn_runs(self) -> None:
+        """Wait while too many runs of withdrawn requests are out, for a limited time."""
+        with anyio.move_on_after(WITHDRAWN_RUNS_TIMEOUT_S):
+            while self.requests.withdrawn_run_count >= MAX_WITHDRAWN_RUNS:
+                self.requests.was_paused = True
+                await anyio.sleep(RUNS_POLL_INTERVAL_S)
+
     def _remaining_ms(self) -> float:
         """Return the time left for the first byte of a connection, or for the rest of an incomplete message."""
         now_ms = self._server.clock()
@@ -165,20 +205,26 @@
             return self._server.generation.longest_timeout_ms
         return MESSAGE_TIMEOUT_MS
 
-    def _handle_received(self) -> None:
-        """Handle all complete messages that have been received."""
+    def _handle_received(self, end_at_s: float) -> bool:
+        """Handle received messages until `end_at_s`, at least one; return whether no complete one is left."""
+        is_first = True
         while (data := self.stream.data) is not None:
+            if not is_first and time.monotonic() >= end_at_s:
+                self.stream.store_rest()
+                return False
             if self._message_began_at_ms is None:
                 self._message_began_at_ms = self._server.clock()
             parts = self._next_message(data)
             if parts is None:
                 self._registry.note_incomplete_message(self)
                 self.stream.store_rest()
-                return
+                return True
+            is_first = False
             self._note_used()
             self._message_began_at_ms = None
             self._registry.note_complete_message(self)
             self.requests.handle_message(parts)
+        return True
 
     def _next_message(self, data: bytearray) -> list[bytes] | None:
         """Consume the next message from the stream and return its parts; None while it is incomplete.
@@ -200,11 +246,6 @@
     def _note_used(self) -> None:
         self.last_used_at_ms = self._server.clock()
 
-    def _note_answer(self, answer: Answer) -> None:
-        self._note_used()
-        if answer.state is RequestState.COMPLETED:
-            self.has_completed_request = True
-
     def _free_memory(self) -> bool:
         return self._registry.free_memory(self)
 
@@ -212,6 +253,11 @@
         self.has_sent_valid_message = True
         self._registry.note_valid_message(self)
 
+    @property
+    def has_completed_request(self) -> bool:
+        """Whether a request of this connection was answered with its result."""
+        return self.requests.has_completed_request
+
     @property
     def is_idle(self) -> bool:
         """Whether there are no open requests, no incomplete message and no unsent bytes."""
--- a/nickelslip/server/requests.py
+++ b/nickelslip/server/requests.py
@@ -37,6 +37,7 @@
         is_retry: Whether it is marked as a retry.
         load_balancer: Number of the load balancer that sent it; None if unknown.
         key: Idempotency key, or the subject of a read whose answer may be shared with other requests.
+        may_be_delayed_by_client: Whether it may have been read late because its client sent too much before it.
     """
 
     id_hex: str
@@ -50,6 +51,7 @@
     is_retry: bool = False
     load_balancer: int | None = None
     key: str | None = None
+    may_be_delayed_by_client: bool = False
 
     def to_arrival(self, number: int, now_ms: float, original_request_id: int | None) -> Arrival:
         """Convert the request to the admission controller's format.
@@ -71,6 +73,7 @@
             read_delay_ms=max(0.0, now_ms - self.received_at_ms),
             original_request_id=original_request_id,
             has_key=self.key is not None,
+            may_be_delayed_by_client=self.may_be_delayed_by_client,
         )
 
 
--- a/nickelslip/server/tagged_requests.py
+++ b/nickelslip/server/tagged_requests.py
@@ -43,6 +43,8 @@
     Attributes:
         has_client_left: Whether the client has closed its connection. Requests that are read later are not accepted.
         consecutive_refusal_count: Number of requests refused since the last accepted one.
+        has_completed_request: Whether a request was answered with its result.
+        was_paused: Whether reading was paused since the last such answer, so that later requests may be read late.
     """
 
     def __init__(
@@ -51,7 +53,7 @@
         stream: Stream,
         log: ConnectionLog,
         on_valid_message: Callable[[], None],
-        on_answered: Callable[[Answer], None],
+        on_answered: Callable[[], None],
     ) -> None:
         self._server = server
         self._stream = stream
@@ -59,13 +61,21 @@
         self._on_valid_message = on_valid_message
         self._on_answered = on_answered
         self._requests: dict[int, Request] = {}
-        self._drained = anyio.Event()  # set when the last open request is answered or cancelled
+        self._withdrawn: list[Request] = []  # their runs may be unfinished
+        self._drained: anyio.Event | None = None  # set when the last open request is answered or cancelled
         self.has_client_left = False
         self.consecutive_refusal_count = 0
+        self.has_completed_request = False
+        self.was_paused = False
 
     def __len__(self) -> int:
         return len(self._requests)
 
+    @property
+    def withdrawn_run_count(self) -> int:
+        """The number of unfinished runs of requests that the client has cancelled."""
+        return sum(request.has_unfinished_run for request in self._withdrawn)
+
     def handle_message(self, parts: list[bytes]) -> None:
         """Handle one complete message.
 
@@ -108,12 +118,21 @@
             await self._drained.wait()
 
     def _cancel(self, tag: int) -> None:
-        """Handle the client's cancellation of a request, which is then no longer answered."""
+        """Handle the client's cancellation of a request, which is then no longer answered.
+
+        A cancellation may cross the answer, but a client that sends nothing else is refused like any other.
+        """
         request = self._requests.pop(tag, None)
-        if request is not None:
+        if request is None:
+            self.consecutive_refusal_count += not self.has_completed_request
+        else:
+            self._remember_withdrawn(request)
             request.deliver(ClientDisconnected())
             self._notify_if_drained()
 
+    def _remember_withdrawn(self, request: Request) -> None:
+        self._withdrawn = [each for each in (*self._withdrawn, request) if each.has_unfinished_run]
+
     def _answer_health_check(self, tag: int) -> None:
         self._on_valid_message()
         self._stream.write(encode_health(tag, self._server.is_healthy, self._server.advertised_weight))
@@ -153,6 +172,7 @@
             self._server.clock(),
             generation.longest_timeout_ms,
         )
+        received.may_be_delayed_by_client = self.was_paused
         request = Request(received, generation, lambda answer: self._answer(tag, answer))
         self._requests[tag] = request
         if not self._server.accept_request(request):
@@ -168,10 +188,13 @@
     def _answer(self, tag: int, answer: Answer) -> None:
         """Write the answer to a request, which is then no longer open."""
         self._requests.pop(tag, None)
+        if answer.state is RequestState.COMPLETED:
+            self.has_completed_request = True
+            self.was_paused = False
         self._stream.write(encode_answer(tag, answer))
-        self._on_answered(answer)
+        self._on_answered()
         self._notify_if_drained()
 
     def _notify_if_drained(self) -> None:
-        if not self._requests:
+        if not self._requests and self._drained is not None:
             self._drained.set()
--- a/nickelslip/server/worker_pool_link.py
+++ b/nickelslip/server/worker_pool_link.py
@@ -13,6 +13,7 @@
 from nickelslip.server.close_reasons import MALFORMED_RESULT_OUTCOME, UNKNOWN_START_OUTCOME
 from nickelslip.server.command_delivery import CommandDelivery
 from nickelslip.server.line_reader import Line
+from nickelslip.server.log_sampling import is_power_of_two
 from nickelslip.server.request_events import CallRequested, RunFinished
 from nickelslip.server.requests import Request
 from nickelslip.server.worker_pool_commands import (
@@ -68,6 +69,7 @@
         self._unsent = deque[RunCommand]()  # never written; sent once the link is up
         self._last_seq = 0
         self._last_query_number = 0
+        self._not_executed_count = 0
         self._gauges: Gauges | None = None
 
     async def run(self) -> None:
@@ -260,7 +262,18 @@
         request = None
         if notification.request_number is not None:
             request = self._owner.requests.get(notification.request_number)
-        self._owner.log.warning("command_not_executed", command=notification.command_word, is_known=request is not None)
+        self._log_not_executed(notification, is_known=request is not None)
         if request is not None and notification.command_word == START_WORD:
             self._delivery.run_confirmed(request)
             request.deliver(RunFinished(UNKNOWN_START_OUTCOME, 0.0))
+
+    def _log_not_executed(self, notification: CommandNotExecuted, is_known: bool) -> None:
+        """Log the 1st, 2nd, 4th, 8th ... command that was not executed, since clients can cause any number of them."""
+        self._not_executed_count += 1
+        if is_power_of_two(self._not_executed_count):
+            self._owner.log.warning(
+                "command_not_executed",
+                command=notification.command_word,
+                is_known=is_known,
+                count=self._not_executed_count,
+            )
--- a/tests/test_admission_controller.py
+++ b/tests/test_admission_controller.py
@@ -424,6 +424,15 @@
     assert model.requests[1].answer_count == 1
 
 
+def test_a_request_that_its_own_client_delayed_does_not_lower_the_weight():
+    """Guards against one client that sends at full speed and makes the whole server look overloaded."""
+    for is_delayed_by_client, weights in ((False, [0.8]), (True, [])):
+        model = AdmissionModel(build_settings(load_signal=LoadSignal.SELECTION_PROBABILITY, client_count=4))
+        model.receive_request(1, PAY, read_delay_ms=450.0, may_be_delayed_by_client=is_delayed_by_client)
+        model.advance(100)
+        assert model.advertised_weights == weights
+
+
 def test_the_advertised_weight_has_a_value_for_every_load_signal():
     weights_by_signal = {}
     for load_signal in LoadSignal:
