--- a/nickelslip/server/request_decoder.py
+++ b/nickelslip/server/request_decoder.py
@@ -29,6 +29,7 @@
 # Texts of InvalidFieldError for checks that are not about a single field.
 PARTS = "parts"
 TEXT = "text"
+TOO_MANY_FIELDS = "too many fields"
 CLASS_OR_BODY = "traffic class or body"
 MEMORY_OR_RETRY = f"{MEMORY_FIELD} or {IS_RETRY_FIELD}"
 LEVEL_OR_LOAD_BALANCER = f"{LEVEL_FIELD} or {LOAD_BALANCER_FIELD}"
@@ -36,6 +37,7 @@
 
 MIN_PARTS = 2  # traffic class and fields
 MAX_PARTS = 3  # traffic class, fields and body
+MAX_FIELDS = 64  # far more than the protocol has
 MAX_BODY_BYTES = 2 * 1024
 MAX_MEMORY_KB = 2000.0  # exclusive
 MAX_KEY_CHARACTERS = 256
@@ -147,6 +149,8 @@
 
 def _decode_fields(field_list: str) -> dict[str, str]:
     """Return the fields by their names, from `name=value` pairs separated by commas."""
+    if field_list.count(",") >= MAX_FIELDS:
+        raise InvalidFieldError(TOO_MANY_FIELDS)
     fields: dict[str, str] = {}
     for pair in field_list.split(","):
         name, separator, value = pair.partition("=")
--- a/tests/server/test_requests_and_answers.py
+++ b/tests/server/test_requests_and_answers.py
@@ -151,6 +151,7 @@
         {"class_name": "unknown"},
         {"body": bytes(2049)},
         {"via": "4,via=5"},
+        {"via": "4" + "".join(f",x{number}=1" for number in range(64))},  # very many short fields
     ),
 )
 async def test_a_malformed_field_fails_only_its_request(changed_fields):
