Turns of unproven connections get shorter the more of them wait

Cause: pauses were cut at a second, so that 400 turns of 2 ms a second took four fifths of the processor.

Change: a turn is shorter the longer the line of pauses is.

--- a/nickelslip/server/load_balancer_connection.py
+++ b/nickelslip/server/load_balancer_connection.py
@@ -33,9 +33,7 @@
 MAX_CONSECUTIVE_REFUSALS = 64
 SEND_POLL_INTERVAL_S = 0.05
 SHED_DELAY_S = 1.0
-MAX_TURN_S = 0.002  # before a request of the connection was completed
 MIN_PAUSE_S = 0.001
-MAX_PAUSE_S = 1.0
 MAX_WITHDRAWN_RUNS = 4  # runs of withdrawn requests of one connection, before a request of it was completed
 WITHDRAWN_RUNS_TIMEOUT_S = 1.0
 RUNS_POLL_INTERVAL_S = 0.005
@@ -175,12 +173,13 @@
         if self.has_completed_request:
             return self._handle_received(inf)
         began_at_s = time.monotonic()
-        is_done = self._handle_received(began_at_s + MAX_TURN_S)
+        limit = self._registry.processing_limit
+        is_done = self._handle_received(began_at_s + limit.turn_s(began_at_s))
         now_s = time.monotonic()
-        pause_s = self._registry.processing_limit.pause_after(now_s, now_s - began_at_s)
+        pause_s = limit.pause_after(now_s, now_s - began_at_s)
         if not is_done or pause_s >= MIN_PAUSE_S:
             self.requests.was_paused = True
-            await anyio.sleep(min(pause_s, MAX_PAUSE_S))
+            await anyio.sleep(pause_s)
         await self._wait_for_withdrawn_runs()
         return is_done
 
--- a/nickelslip/server/processing_limit.py
+++ b/nickelslip/server/processing_limit.py
@@ -8,6 +8,8 @@
 
 MAX_PROCESSOR_FRACTION = 0.25
 MIN_TURN_S = 0.000_2  # waking a task and reading from its socket
+MAX_TURN_S = 0.002
+MAX_PAUSE_S = 1.0
 
 
 class ProcessingLimit:
@@ -16,6 +18,11 @@
     def __init__(self) -> None:
         self._free_at_s = 0.0
 
+    def turn_s(self, now_s: float) -> float:
+        """Return how long a turn that begins now may take, in seconds. The more connections wait, the shorter it is."""
+        backlog_s = max(0.0, self._free_at_s - now_s)
+        return MAX_TURN_S * max(0.0, 1 - backlog_s / MAX_PAUSE_S)
+
     def pause_after(self, now_s: float, turn_s: float) -> float:
         """Return how long a connection has to pause after a turn, in seconds.
 
@@ -25,4 +32,4 @@
         """
         spread_s = max(turn_s, MIN_TURN_S) / MAX_PROCESSOR_FRACTION
         self._free_at_s = max(now_s, self._free_at_s) + spread_s
-        return self._free_at_s - now_s
+        return min(MAX_PAUSE_S, self._free_at_s - now_s)
--- a/tests/test_message_floods.py
+++ b/tests/test_message_floods.py
@@ -6,7 +6,7 @@
 from nickelslip.admission.controller import AdmissionController
 from nickelslip.server import load_balancer_connection, resp
 from nickelslip.server.load_balancer_connection import FIRST_BYTE_TIMEOUT_MS, MAX_WITHDRAWN_RUNS
-from nickelslip.server.processing_limit import MAX_PROCESSOR_FRACTION, MIN_TURN_S, ProcessingLimit
+from nickelslip.server.processing_limit import MAX_PROCESSOR_FRACTION, MAX_TURN_S, MIN_TURN_S, ProcessingLimit
 from nickelslip.server.worker_pool_link import WorkerPoolLink
 from tests.support.load_balancer_client import RawClient, encode_request
 from tests.support.request_ids import A
@@ -61,7 +61,7 @@
 async def test_a_client_without_a_completed_request_is_served_a_few_messages_at_a_time(monkeypatch):
     """Guards against one client whose messages, many in one read, keep all others waiting."""
     pauses = []
-    monkeypatch.setattr(load_balancer_connection, "MAX_TURN_S", 0.0)
+    monkeypatch.setattr(ProcessingLimit, "turn_s", lambda limit, now_s: 0.0)
     monkeypatch.setattr(ProcessingLimit, "pause_after", lambda limit, now_s, turn_s: pauses.append(turn_s) or 0.1)
     async with ServerRig(cpus=32) as rig:
         await rig.wait_until_serving()
@@ -100,6 +100,22 @@
     assert limit.pause_after(100.0, 0.0) == pytest.approx(MIN_TURN_S / MAX_PROCESSOR_FRACTION)
 
 
+def test_turns_get_shorter_the_more_clients_wait():
+    """Guards against hundreds of clients whose turns together take the whole processor."""
+    limit, now_s = ProcessingLimit(), 10.0
+    assert limit.turn_s(now_s) == MAX_TURN_S
+    busy_s = [0.0]
+    wake_at_s = [now_s] * 400
+    while now_s < 20.0:
+        index = min(range(400), key=wake_at_s.__getitem__)
+        now_s = max(now_s, wake_at_s[index])
+        turn_s = max(MIN_TURN_S, limit.turn_s(now_s))
+        busy_s.append(turn_s)
+        now_s += turn_s
+        wake_at_s[index] = now_s + limit.pause_after(now_s, turn_s)
+    assert sum(busy_s) / 10.0 < 1.1 * MAX_PROCESSOR_FRACTION
+
+
 async def test_commands_that_were_not_executed_are_logged_in_samples(monkeypatch):
     """Guards against a log that grows with each id which the worker pool does not know."""
     async with ServerRig(cpus=32) as rig:
