--- a/nickelslip/configuration/rollout.py
+++ b/nickelslip/configuration/rollout.py
@@ -14,8 +14,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass
-from math import ceil, inf
+from math import inf
 from typing import Any
 
 from nickelslip.configuration.rollout_replies import TargetStatus, decode_status, reason_of
@@ -24,7 +23,6 @@
     FINISHED_STATUSES,
     STATES_DONE_WITH_ROLLBACK,
     STATES_TO_ROLL_BACK,
-    TRANSITIONS,
     UNDECIDED_STATES,
     Action,
     Instruction,
@@ -33,6 +31,7 @@
     TargetReport,
     TargetState,
 )
+from nickelslip.configuration.rollout_target import Target, wave_ends
 
 # Codes with which a target rejects a request. All but `INVALID_REQUEST_CODE` stand for a RejectionReason, see
 # `server.control_words`.
@@ -46,41 +45,6 @@
 NO_HISTORY = "until its next restart, since it keeps no history"
 
 
-@dataclass
-class _Target:
-    """The progress of one target.
-
-    Attributes:
-        name: Path of its control socket.
-        state: Its current state.
-        reason: Why it is in this state; may be empty.
-        entered_at_ms: When it entered this state.
-        last_reply_at_ms: When it last replied; before the first reply, when it was first asked.
-        next_action_at_ms: When the next action is due.
-        is_action_pending: Whether an action is being carried out at it.
-        had_document: Whether it had the document in force before, so that it is neither changed nor rolled back.
-    """
-
-    name: str
-    state: TargetState = TargetState.PENDING
-    reason: str = ""
-    entered_at_ms: float = 0.0
-    last_reply_at_ms: float = 0.0
-    next_action_at_ms: float = 0.0
-    is_action_pending: bool = False
-    had_document: bool = False
-
-
-def wave_ends(target_count: int, wave_fractions: Sequence[float]) -> list[int]:
-    """Return how many targets have been asked by the end of each wave. The last wave includes all targets."""
-    ends: list[int] = []
-    for fraction in (*wave_fractions, 1.0):
-        end = min(target_count, max(1, ceil(fraction * target_count)))
-        if not ends or end > ends[-1]:
-            ends.append(end)
-    return ends
-
-
 class Rollout:
     """One rollout of one document.
 
@@ -102,7 +66,7 @@
         if not targets or len(set(targets)) != len(targets):
             raise ValueError("each node is named once, and there is at least one")
         self._policy = policy
-        self._targets = {name: _Target(name) for name in targets}
+        self._targets = {name: Target(name) for name in targets}
         self._wave_ends = wave_ends(len(targets), policy.wave_fractions)
         self.wave = -1
         self.status = RolloutStatus.IN_PROGRESS
@@ -111,14 +75,6 @@
         self._is_verifying = False
         self._begin_next_wave(now_ms)
 
-    def _enter(self, target: _Target, state: TargetState, now_ms: float, reason: str = "") -> None:
-        """Move a target to another state. No other code sets the state."""
-        if state not in TRANSITIONS[target.state]:
-            raise RuntimeError(f"{target.name} cannot go from {target.state.name} to {state.name}")
-        target.state = state
-        target.entered_at_ms = now_ms
-        target.reason = reason
-
     def target_states(self) -> dict[str, TargetReport]:
         """Return the state of each target and the reason for it."""
         return {target.name: TargetReport(target.state, target.reason) for target in self._targets.values()}
@@ -128,7 +84,7 @@
         """Whether the rollout has ended, successfully or not."""
         return self.status in FINISHED_STATUSES
 
-    def _asked_targets(self) -> list[_Target]:
+    def _asked_targets(self) -> list[Target]:
         """Return the targets of all waves up to the current one."""
         return list(self._targets.values())[: self._wave_ends[self.wave]]
 
@@ -136,20 +92,14 @@
         self.wave += 1
         for target in self._asked_targets():
             if target.state is TargetState.PENDING:
-                self._ask(target, TargetState.APPLYING, now_ms)
-
-    def _ask(self, target: _Target, state: TargetState, now_ms: float) -> None:
-        """Move a target to a state in which it is asked at once."""
-        self._enter(target, state, now_ms)
-        target.last_reply_at_ms = now_ms
-        target.next_action_at_ms = now_ms
+                target.ask_at_once(TargetState.APPLYING, now_ms)
 
     def _begin_verification(self, now_ms: float) -> None:
         """Ask each target once more whether it has the document in force."""
         self._is_verifying = True
         for target in self._targets.values():
             if target.state is TargetState.CONFIRMED and not target.had_document:
-                self._ask(target, TargetState.IN_CANARY_PERIOD, now_ms)
+                target.ask_at_once(TargetState.IN_CANARY_PERIOD, now_ms)
 
     def advance(self, now_ms: float) -> list[Instruction]:
         """Apply timeouts, update the wave or the rollback, and return the instructions to carry out now.
@@ -170,21 +120,21 @@
             if not target.is_action_pending and now_ms >= target.next_action_at_ms and target.state in ACTION_BY_STATE
         ]
 
-    def _instruct(self, target: _Target, action: Action, now_ms: float) -> Instruction:
+    def _instruct(self, target: Target, action: Action, now_ms: float) -> Instruction:
         if action is Action.ROLL_BACK:
-            self._enter(target, TargetState.ROLLING_BACK, now_ms)
+            target.enter(TargetState.ROLLING_BACK, now_ms)
         target.is_action_pending = True
         target.next_action_at_ms = now_ms + self._policy.status_check_interval_ms
         return Instruction(target.name, action)
 
-    def _apply_timeouts(self, target: _Target, now_ms: float) -> None:
+    def _apply_timeouts(self, target: Target, now_ms: float) -> None:
         """Mark a target as unreachable if it has not replied or not finished its canary period in time."""
         since_reply_ms = now_ms - target.last_reply_at_ms
         in_state_ms = now_ms - target.entered_at_ms
         if target.state in UNDECIDED_STATES and since_reply_ms > self._policy.unreachable_after_ms:
-            self._enter(target, TargetState.UNREACHABLE, now_ms, "no answer in time")
+            target.enter(TargetState.UNREACHABLE, now_ms, "no answer in time")
         elif target.state is TargetState.IN_CANARY_PERIOD and in_state_ms > self._policy.canary_timeout_ms:
-            self._enter(target, TargetState.UNREACHABLE, now_ms, target.reason or "its probation does not end")
+            target.enter(TargetState.UNREACHABLE, now_ms, target.reason or "its probation does not end")
 
     def _advance_wave(self, now_ms: float) -> None:
         """Begin the rollback if a target failed or too many are unreachable. Else continue once the wave is decided."""
@@ -216,7 +166,7 @@
         self._rollback_began_at_ms = now_ms
         for target in self._targets.values():
             if target.state in STATES_TO_ROLL_BACK and not target.had_document:
-                self._enter(target, TargetState.ROLLBACK_PENDING, now_ms, target.reason)
+                target.enter(TargetState.ROLLBACK_PENDING, now_ms, target.reason)
                 target.next_action_at_ms = now_ms
 
     def _advance_rollback(self, now_ms: float) -> None:
@@ -232,12 +182,12 @@
         else:
             self.status = RolloutStatus.ROLLED_BACK
 
-    def _abort_rollback(self, target: _Target, now_ms: float) -> None:
+    def _abort_rollback(self, target: Target, now_ms: float) -> None:
         reason = target.reason or "no answer while going back"
         if target.state is TargetState.ROLLBACK_PENDING:
-            self._enter(target, TargetState.ROLLING_BACK, now_ms)
+            target.enter(TargetState.ROLLING_BACK, now_ms)
         if target.state is TargetState.ROLLING_BACK:
-            self._enter(target, TargetState.ROLLBACK_FAILED, now_ms, reason)
+            target.enter(TargetState.ROLLBACK_FAILED, now_ms, reason)
 
     def record_reply(
         self,
@@ -260,7 +210,7 @@
         target.is_action_pending = False
         if reply is None:
             if target.state is TargetState.ROLLING_BACK and action is Action.ROLL_BACK:
-                self._enter(target, TargetState.ROLLBACK_PENDING, now_ms, "no answer")
+                target.enter(TargetState.ROLLBACK_PENDING, now_ms, "no answer")
             return
         target.last_reply_at_ms = now_ms
         if action is Action.APPLY and target.state is TargetState.APPLYING:
@@ -270,23 +220,23 @@
         elif action is Action.ROLL_BACK and target.state is TargetState.ROLLING_BACK:
             self._record_rollback(target, now_ms, reply)
 
-    def _record_apply(self, target: _Target, now_ms: float, reply: dict[str, Any]) -> None:
+    def _record_apply(self, target: Target, now_ms: float, reply: dict[str, Any]) -> None:
         code = reply.get("code")
         if reply.get("ok") is True:
-            self._enter(target, TargetState.IN_CANARY_PERIOD, now_ms)
+            target.enter(TargetState.IN_CANARY_PERIOD, now_ms)
         elif code == UNCHANGED_CODE:
             target.had_document = True
-            self._enter(target, TargetState.CONFIRMED, now_ms, "it had the document already when it was asked")
+            target.enter(TargetState.CONFIRMED, now_ms, "it had the document already when it was asked")
         elif code == TOO_LATE_CODE:
-            self._enter(target, TargetState.UNREACHABLE, now_ms, "it answered too late")
+            target.enter(TargetState.UNREACHABLE, now_ms, "it answered too late")
         elif code in REJECTION_CODES:
-            self._enter(target, TargetState.FAILED, now_ms, reason_of(reply, "text", "refused"))
+            target.enter(TargetState.FAILED, now_ms, reason_of(reply, "text", "refused"))
         else:  # busy: ask again until the target counts as unreachable
             target.reason = reason_of(reply, "text", "busy")
             if now_ms - target.entered_at_ms > self._policy.unreachable_after_ms:
-                self._enter(target, TargetState.UNREACHABLE, now_ms, target.reason)
+                target.enter(TargetState.UNREACHABLE, now_ms, target.reason)
 
-    def _record_status(self, target: _Target, now_ms: float, status: TargetStatus) -> None:
+    def _record_status(self, target: Target, now_ms: float, status: TargetStatus) -> None:
         if status.has_change is None:
             target.reason = UNKNOWN_CHANGES
         elif target.state is TargetState.IN_CANARY_PERIOD:
@@ -294,25 +244,25 @@
         elif target.state is TargetState.ROLLING_BACK:
             self._record_verification_of_rollback(target, now_ms, status)
 
-    def _record_observation(self, target: _Target, now_ms: float, status: TargetStatus) -> None:
+    def _record_observation(self, target: Target, now_ms: float, status: TargetStatus) -> None:
         """Record whether a target still has the document, and has confirmed it for good."""
         if not status.has_change:
-            self._enter(target, TargetState.FAILED, now_ms, status.reason or "it is not in force any more")
+            target.enter(TargetState.FAILED, now_ms, status.reason or "it is not in force any more")
         elif status.is_confirmed and status.survives_restart:
-            self._enter(target, TargetState.CONFIRMED, now_ms, "" if status.keeps_history else NO_HISTORY)
+            target.enter(TargetState.CONFIRMED, now_ms, "" if status.keeps_history else NO_HISTORY)
 
-    def _record_verification_of_rollback(self, target: _Target, now_ms: float, status: TargetStatus) -> None:
+    def _record_verification_of_rollback(self, target: Target, now_ms: float, status: TargetStatus) -> None:
         """Record whether a target that was asked to roll back has the document neither now nor after a restart."""
         if status.has_change:
-            self._enter(target, TargetState.ROLLBACK_PENDING, now_ms, "it still has the document in force")
+            target.enter(TargetState.ROLLBACK_PENDING, now_ms, "it still has the document in force")
         elif status.survives_restart:
-            self._enter(target, TargetState.ROLLED_BACK, now_ms)
+            target.enter(TargetState.ROLLED_BACK, now_ms)
         else:
             target.reason = "a restart may bring the document back"
 
-    def _record_rollback(self, target: _Target, now_ms: float, reply: dict[str, Any]) -> None:
+    def _record_rollback(self, target: Target, now_ms: float, reply: dict[str, Any]) -> None:
         """Record the reply to a rollback, which may find that the document is not in force. The status has to agree."""
         if reply.get("ok") is True or reply.get("code") == NOT_IN_FORCE_CODE:
             target.next_action_at_ms = now_ms
         else:
-            self._enter(target, TargetState.ROLLBACK_PENDING, now_ms, reason_of(reply, "text", ""))
+            target.enter(TargetState.ROLLBACK_PENDING, now_ms, reason_of(reply, "text", ""))
