--- a/nickelslip/server/load_balancer_connection.py
+++ b/nickelslip/server/load_balancer_connection.py
@@ -172,11 +172,10 @@
             raise ConnectionClosedError(CloseReason.CLOSED)
         if self.has_completed_request:
             return self._handle_received(inf)
-        began_at_s = time.monotonic()
         limit = self._registry.processing_limit
-        is_done = self._handle_received(began_at_s + limit.turn_s(began_at_s))
-        now_s = time.monotonic()
-        pause_s = limit.pause_after(now_s, now_s - began_at_s)
+        began_at_s = time.thread_time()  # not the time in which the process had to wait for a core
+        is_done = self._handle_received(began_at_s + limit.turn_s(time.monotonic()))
+        pause_s = limit.pause_after(time.monotonic(), time.thread_time() - began_at_s)
         if not is_done or pause_s >= MIN_PAUSE_S:
             self.requests.was_paused = True
             await anyio.sleep(pause_s)
@@ -205,10 +204,14 @@
         return MESSAGE_TIMEOUT_MS
 
     def _handle_received(self, end_at_s: float) -> bool:
-        """Handle received messages until `end_at_s`, at least one; return whether no complete one is left."""
+        """Handle received messages, at least one; return whether no complete one is left.
+
+        Args:
+            end_at_s: The processor time of this thread after which no further message is handled.
+        """
         is_first = True
         while (data := self.stream.data) is not None:
-            if not is_first and time.monotonic() >= end_at_s:
+            if not is_first and end_at_s < inf and time.thread_time() >= end_at_s:
                 self.stream.store_rest()
                 return False
             if self._message_began_at_ms is None:
