--- a/nickelslip/server/processing_limit.py
+++ b/nickelslip/server/processing_limit.py
@@ -1,7 +1,6 @@
-"""A limit on the processor time that messages of unproven connections may use.
+"""A limit on the processor time for messages of connections on which no request was completed yet.
 
-A connection is unproven while none of its requests was completed. However fast such clients send, others still get most
-of the processor.
+However fast their clients send, others still get most of the processor.
 """
 
 from __future__ import annotations
@@ -16,7 +15,7 @@
 
 
 class ProcessingLimit:
-    """Spreads the turns of unproven connections over time. It has no clock."""
+    """Spreads the turns of such connections over time. It has no clock."""
 
     def __init__(self) -> None:
         self._free_at_s = -inf
