A rollback does not bring back a change that was undone before

Cause: confirmed generations were kept in the order of their confirmation, also those that had been undone since.

Change: a confirmed generation that is based on the same changes as a kept one takes its place, and what was confirmed in between is dropped, also when a start reads the history.

--- a/nickelslip/configuration/confirmed_generations.py
+++ b/nickelslip/configuration/confirmed_generations.py
@@ -20,7 +20,9 @@
     """
 
     def __init__(self, initial: GenerationSnapshot, earlier: Iterable[GenerationSnapshot] = ()) -> None:
-        self._snapshots = deque([*earlier, initial], MAX_CONFIRMED_GENERATIONS)
+        self._snapshots: deque[GenerationSnapshot] = deque(maxlen=MAX_CONFIRMED_GENERATIONS)
+        for snapshot in (*earlier, initial):
+            self.add(snapshot)
 
     @property
     def latest(self) -> GenerationSnapshot:
@@ -28,7 +30,16 @@
         return self._snapshots[-1]
 
     def add(self, snapshot: GenerationSnapshot) -> None:
-        """Add a generation that has been confirmed."""
+        """Add a generation that has been confirmed.
+
+        If one that is based on the same changes is kept, this is a return to it, or it has other peer addresses. What
+        was confirmed since then has been undone and is dropped, so that no later rollback brings it back.
+        """
+        for index, kept in enumerate(self._snapshots):
+            if kept.changes and kept.changes == snapshot.changes:
+                while len(self._snapshots) > index:
+                    self._snapshots.pop()
+                break
         self._snapshots.append(snapshot)
 
     def replace_latest(self, snapshot: GenerationSnapshot) -> None:
--- a/nickelslip/configuration/restored_generations.py
+++ b/nickelslip/configuration/restored_generations.py
@@ -6,7 +6,7 @@
 from nickelslip.configuration.document_conversion import config_from
 from nickelslip.configuration.document_parts import complete_document
 from nickelslip.configuration.generation_snapshot import GenerationSnapshot
-from nickelslip.configuration.generations import Generation, digest_of, settings_of
+from nickelslip.configuration.generations import Generation, digest_of
 from nickelslip.configuration.history import CONFIRMING_EVENTS, HistoryRecord, last_confirmed
 from nickelslip.configuration.validation import InvalidDocumentError
 
@@ -31,20 +31,14 @@
 def earlier_snapshots(records: list[HistoryRecord], started_number: int) -> list[GenerationSnapshot]:
     """Return the generations that were confirmed before the one with which the server starts, oldest first.
 
-    Of consecutive generations that differ only in peer addresses, the last is returned. Documents that are no longer
-    valid are left out.
+    Documents that are no longer valid are left out.
     """
-    snapshots: list[GenerationSnapshot] = []
-    for record in records:
-        if record.event not in CONFIRMING_EVENTS or record.document is None or record.generation == started_number:
-            continue
-        snapshot = _snapshot_of(record)
-        if snapshot is None:
-            continue
-        if snapshots and settings_of(snapshots[-1].document) == settings_of(snapshot.document):
-            snapshots.pop()
-        snapshots.append(snapshot)
-    return snapshots
+    snapshots = [
+        _snapshot_of(record)
+        for record in records
+        if record.event in CONFIRMING_EVENTS and record.document is not None and record.generation != started_number
+    ]
+    return [snapshot for snapshot in snapshots if snapshot is not None]
 
 
 def _snapshot_of(record: HistoryRecord) -> GenerationSnapshot | None:
--- a/tests/test_undone_changes.py
+++ b/tests/test_undone_changes.py
@@ -102,6 +102,13 @@
         assert restart.document["machine"]["cores"] == 2
         with pytest.raises(ChangeRejectedError, match="not in force"):
             await command(rig, "rollback", **{"from": ORIGIN})
+        with pytest.raises(ChangeRejectedError, match="no earlier generation"):
+            await command(rig, "rollback")  # by an operator who does not know that it has gone back
+        records = [*rig.configuration_manager.history.store.records]
+        generation = rig.server.generation
+        restarted = ChangeManager(generation, changes.in_force.document, records, changes.records.file_digest)
+        with pytest.raises(ChangeRejectedError, match="no earlier generation"):
+            restarted.earlier_snapshot()
         assert rig.server.generation.settings.core_count == 2
 
 
