Load balancers that have just connected are not limited

Cause, by reading: a connection was limited from its first message until a request of it was completed. The pause of a closed connection's end also kept its open requests for a second, where the stream had already been aborted, and a client that had left with a message for which there was no memory was waited for.

Change: 32 messages are free, or two pieces of one; withdrawn runs count if they were withdrawn within 0.1 s of their start; no delay where the stream is closed; a client that has left is gone whatever its last bytes were.

--- a/nickelslip/server/load_balancer_connection.py
+++ b/nickelslip/server/load_balancer_connection.py
@@ -11,6 +11,7 @@
 
 import socket
 import time
+from contextlib import suppress
 from math import inf
 from typing import TYPE_CHECKING, Protocol
 
@@ -33,6 +34,8 @@
 MAX_CONSECUTIVE_REFUSALS = 64
 SEND_POLL_INTERVAL_S = 0.05
 SHED_DELAY_S = 1.0
+MAX_UNLIMITED_MESSAGES = 32  # as many requests may be open on a connection
+FRAGMENT_WEIGHT = 16  # in messages; load balancers seldom write a message in many pieces
 MIN_PAUSE_S = 0.001
 MAX_WITHDRAWN_RUNS = 4  # runs of withdrawn requests of one connection, before a request of it was completed
 WITHDRAWN_RUNS_TIMEOUT_S = 1.0
@@ -108,6 +111,7 @@
         self.requests = TaggedRequests(server, self.stream, log, self._note_valid_message, self._note_used)
         self.last_used_at_ms = server.clock()
         self._message_began_at_ms: float | None = None  # of an incomplete message
+        self._fragment_count = 0  # reads that left a message incomplete
         self.has_sent_valid_message = False
         self.is_close_requested = False
         self.close_began_at_ms: float | None = None
@@ -119,7 +123,7 @@
             await self._read_messages()
         except ConnectionClosedError as error:
             closed = error
-            if error.reason is CloseReason.SHED and self.close_began_at_ms is None:
+            if error.reason is CloseReason.SHED and self.close_began_at_ms is None and not self.stream.close_reason:
                 await self._delay_close()
             if error.reason not in PEER_GONE_REASONS:
                 await self._answer_and_linger()
@@ -160,18 +164,19 @@
     async def _take_turn(self) -> bool:
         """Handle messages, and return whether no complete one is left.
 
-        While no request was completed on the connection, a turn is short and a pause follows it, so that messages of
-        others are handled in between.
+        If many messages have come and no request was completed, a turn is short and a pause follows it, so that
+        messages of others are handled in between.
 
         Raises:
             ConnectionClosedError: The client has closed its connection. What it sent before is not read further.
         """
         self.requests.has_client_left = self.stream.has_peer_closed
         if self.requests.has_client_left:
-            self._handle_received(inf)
+            with suppress(ConnectionClosedError):
+                self._handle_received(inf)
             raise ConnectionClosedError(CloseReason.CLOSED)
-        if self.has_completed_request:
-            return self._handle_received(inf)
+        if not self._is_limited:
+            return self._handle_received(inf, ends_when_limited=True)
         limit = self._registry.processing_limit
         began_at_s = time.thread_time()  # not the time in which the process had to wait for a core
         is_done = self._handle_received(began_at_s + limit.turn_s(time.monotonic()))
@@ -182,6 +187,13 @@
         await self._wait_for_withdrawn_runs()
         return is_done
 
+    @property
+    def _is_limited(self) -> bool:
+        """Whether the connection has sent more than a load balancer does before its first request is completed."""
+        if self.has_completed_request:
+            return False
+        return self.requests.message_count + FRAGMENT_WEIGHT * self._fragment_count > MAX_UNLIMITED_MESSAGES
+
     async def _wait_for_withdrawn_runs(self) -> None:
         """Wait while too many runs of withdrawn requests are out, for a limited time."""
         with anyio.move_on_after(WITHDRAWN_RUNS_TIMEOUT_S):
@@ -203,21 +215,24 @@
             return self._server.generation.longest_timeout_ms
         return MESSAGE_TIMEOUT_MS
 
-    def _handle_received(self, end_at_s: float) -> bool:
+    def _handle_received(self, end_at_s: float, ends_when_limited: bool = False) -> bool:
         """Handle received messages, at least one; return whether no complete one is left.
 
         Args:
             end_at_s: The processor time of this thread after which no further message is handled.
+            ends_when_limited: Whether no further message is handled once the connection is limited.
         """
         is_first = True
         while (data := self.stream.data) is not None:
-            if not is_first and end_at_s < inf and time.thread_time() >= end_at_s:
+            is_over = self._is_limited if ends_when_limited else end_at_s < inf and time.thread_time() >= end_at_s
+            if is_over and not is_first:
                 self.stream.store_rest()
                 return False
             if self._message_began_at_ms is None:
                 self._message_began_at_ms = self._server.clock()
             parts = self._next_message(data)
             if parts is None:
+                self._fragment_count += 1
                 self._registry.note_incomplete_message(self)
                 self.stream.store_rest()
                 return True
--- a/nickelslip/server/tagged_requests.py
+++ b/nickelslip/server/tagged_requests.py
@@ -26,6 +26,7 @@
     from nickelslip.server.interfaces import RequestHandler
 
 MAX_OPEN_REQUESTS = 32  # per connection
+AT_ONCE_MS = 100.0
 
 
 class TaggedRequests:
@@ -44,6 +45,7 @@
         has_client_left: Whether the client has closed its connection. Requests that are read later are not accepted.
         consecutive_refusal_count: Number of requests refused since the last accepted one.
         has_completed_request: Whether a request was answered with its result.
+        message_count: Number of messages handled.
         was_paused: Whether reading was paused since the last such answer, so that later requests may be read late.
     """
 
@@ -67,13 +69,14 @@
         self.consecutive_refusal_count = 0
         self.has_completed_request = False
         self.was_paused = False
+        self.message_count = 0
 
     def __len__(self) -> int:
         return len(self._requests)
 
     @property
     def withdrawn_run_count(self) -> int:
-        """The number of unfinished runs of requests that the client has cancelled."""
+        """The number of unfinished runs of requests that the client has cancelled soon after their start."""
         return sum(request.has_unfinished_run for request in self._withdrawn)
 
     def handle_message(self, parts: list[bytes]) -> None:
@@ -83,6 +86,7 @@
             ConnectionClosedError: The message has no tag or reuses that of an open request, so the client could not
                 match an answer to it.
         """
+        self.message_count += 1
         verb = parts[0]
         tag = decode_tag(parts)
         if not tag:
@@ -131,7 +135,9 @@
             self._notify_if_drained()
 
     def _remember_withdrawn(self, request: Request) -> None:
-        self._withdrawn = [each for each in (*self._withdrawn, request) if each.has_unfinished_run]
+        """Remember a request that was withdrawn at once, and not after its client has waited for an answer."""
+        if self._server.clock() - request.run_started_at_ms <= AT_ONCE_MS:
+            self._withdrawn = [each for each in (*self._withdrawn, request) if each.has_unfinished_run]
 
     def _answer_health_check(self, tag: int) -> None:
         self._on_valid_message()
--- a/tests/test_message_floods.py
+++ b/tests/test_message_floods.py
@@ -22,6 +22,11 @@
 pytestmark = pytest.mark.anyio
 
 
+@pytest.fixture(autouse=True)
+def limit_from_the_first_message(monkeypatch):
+    monkeypatch.setattr(load_balancer_connection, "MAX_UNLIMITED_MESSAGES", -1)
+
+
 @pytest.fixture
 def anyio_backend():
     return "asyncio", {"use_uvloop": True}
@@ -144,3 +149,17 @@
         peer = RawClient(rig.port)
         peer.send(resp.message(b"NEVERMIND", b"7") * 500)
         await peer.receive_to_end(FIRST_BYTE_TIMEOUT_MS / 4000)
+
+
+async def test_the_first_messages_of_a_load_balancer_are_not_limited(monkeypatch):
+    """Guards against reading new load balancers late, also where their requests are rejected."""
+    monkeypatch.setattr(load_balancer_connection, "MAX_UNLIMITED_MESSAGES", 32)
+    pauses = []
+    monkeypatch.setattr(ProcessingLimit, "pause_after", lambda limit, now_s, turn_s: pauses.append(turn_s) or 0.0)
+    async with ServerRig(cpus=32) as rig:
+        await rig.wait_until_serving()
+        peer = RawClient(rig.port)
+        for tag in range(1, 41):
+            peer.send(resp.message(b"STATUS", b"%d" % tag))
+            await peer.receive_until(b"healthy")
+            assert bool(pauses) == (tag > 33)
